--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 	windowThreads         = 2.0  // ceiling of a window, in threads a core
 	busyUtil              = 0.65 // above it a candidate counts as congested
 	overUtil              = 0.90 // above it a window is halved
-	roomThreads           = 1.6  // threads a core that all routers together keep on an engine
+	roomThreads           = 2.0
 	sweepEvery            = 50 * time.Millisecond
 	probeEvery            = time.Second
 	inlinePeriod          = 500 * time.Millisecond // report period where answers bring reports
@@ -46,7 +46,10 @@
 	coldSafety            = 0.6 // of a cold engine's budget, for slow machines and chance
 	capacityShare         = 0.85
 	learnRate             = 0.05
-	lookedMost            = 24 // held statements that find no room before a pass ends
+	grantFirst            = 1.25
+	grantMost             = 3.0
+	grantUp, grantDown    = 0.04, 0.004 // of a workload's grants, at a spill and without one
+	lookedMost            = 24          // held statements that find no room before a pass ends
 )
 
 // Module is one instance. Instances share nothing.
@@ -73,10 +76,10 @@
 
 type workload struct {
 	decision.Workload
-	id       decision.WorkloadID
-	work     float64 // learned mean work, seconds on one thread
-	known    bool
-	priority int
+	id    decision.WorkloadID
+	work  float64 // learned mean work, seconds on one thread
+	known bool
+	grant float64 // learned: memory granted over memory estimated
 }
 
 type share struct {
@@ -155,6 +158,7 @@
 	mem       float64
 	ended     bool
 	cancelled bool
+	spilled   bool
 	ran       bool
 }
 
@@ -168,7 +172,7 @@
 		most: limits.MaxExecutions, keys: map[decision.Key]*keyLine{}}
 	for i, w := range workloads {
 		w.Threads = max(1, w.Threads)
-		m.workloads = append(m.workloads, &workload{Workload: w, id: decision.WorkloadID(i), priority: 1,
+		m.workloads = append(m.workloads, &workload{Workload: w, id: decision.WorkloadID(i), grant: grantFirst,
 			work: w.SLO.Seconds() / 4 * float64(w.Threads)})
 	}
 	for _, g := range shares.Groups {
@@ -378,7 +382,7 @@
 // send starts an execution on an engine that route picked.
 func (m *Module) send(s *statement, e *engine) {
 	x := &execution{s: s, e: e, n: decision.ExecutionID(len(s.execs)), sent: m.now, news: m.now,
-		threads: s.wlm.Threads, mem: s.mem}
+		threads: s.wlm.Threads, mem: m.need(s)}
 	m.gate.sent(m.now, s, e)
 	if len(e.execs) == 0 {
 		e.lastNews = m.now
@@ -889,6 +893,12 @@
 	}
 	x := s.execs[ev.Execution]
 	x.news = m.now
+	if ev.Note == decision.NoteSpills && !x.spilled {
+		x.spilled = true
+		if e.memOut <= e.mem/m.gate.routers { // not for want of memory there: estimates are too low
+			s.wlm.grant = min(grantMost, s.wlm.grant*(1+grantUp))
+		}
+	}
 	// A bad plan: at its pace this execution takes many times what a new one would.
 	if ev.Note == decision.NoteProgress && !x.ended {
 		elapsed := (m.now - x.sent).Seconds()
@@ -943,6 +953,9 @@
 			w.late++
 		}
 		if ev.Outcome == decision.Completed {
+			if !x.spilled {
+				x.s.wlm.grant = max(1, x.s.wlm.grant*(1-grantDown))
+			}
 			stretch := (m.now - x.sent).Seconds() / max(x.s.run.Seconds(), 0.001)
 			e.pace += learnRate * (min(stretch, 20) - e.pace)
 		}
@@ -1019,7 +1032,7 @@
 		warm := (m.now - e.StartedAt).Seconds() / max(m.gate.rules.WarmAfter.Seconds(), 0.001)
 		limit *= min(1, m.gate.rules.ColdShare+(1-m.gate.rules.ColdShare)*warm)
 	}
-	if float64(e.threads) >= limit || e.mem > 0 && e.memOut > 0 && e.memOut+s.mem > mem {
+	if float64(e.threads) >= limit || e.mem > 0 && e.memOut > 0 && e.memOut+m.need(s) > mem {
 		return false
 	}
 	if s.wlm.WaitsForLoads || s.wlm.Load {
@@ -1074,12 +1087,15 @@
 
 // ---- 6. Grants and priorities --------------------------------------------------------------
 
+// need is the memory that a statement is held to need: its estimate, corrected by what spilled.
+func (m *Module) need(s *statement) float64 { return s.mem * s.wlm.grant }
+
 // setTerms names the memory that a statement needs and a priority: the lighter a workload for its
 // importance, the higher; last what is late or beyond its share.
 func (m *Module) setTerms(s *statement) {
 	t := decision.SetTerms{Statement: s.id, Priority: 1}
 	if m.traits.Grants && s.mem > 0 {
-		t.GrantMB = int64(math.Ceil(s.mem * 1.15))
+		t.GrantMB = int64(math.Ceil(m.need(s)))
 	}
 	if m.traits.Priorities {
 		best := 0.0
@@ -1089,9 +1105,6 @@
 		if s.wlm.Importance/s.wlm.work > best/2 {
 			t.Priority = 3
 		}
-		if m.tier(s) > 0 {
-			t.Priority = 0
-		}
 	}
 	if t != s.terms && (t.GrantMB > 0 || t.Priority != 1 || s.terms.Statement != "") {
 		s.terms = t
