--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 	windowThreads         = 2.0  // ceiling of a window, in threads a core
 	busyUtil              = 0.65 // above it a candidate counts as congested
 	overUtil              = 0.90 // above it a window is halved
-	roomThreads           = 2.0
+	roomThreads           = 3.2
 	sweepEvery            = 50 * time.Millisecond
 	probeEvery            = time.Second
 	inlinePeriod          = 500 * time.Millisecond // report period where answers bring reports
@@ -1088,7 +1088,12 @@
 // ---- 6. Grants and priorities --------------------------------------------------------------
 
 // need is the memory that a statement is held to need: its estimate, corrected by what spilled.
-func (m *Module) need(s *statement) float64 { return s.mem * s.wlm.grant }
+func (m *Module) need(s *statement) float64 {
+	if m.traits.OnShortage == decision.ShortagePage {
+		return s.mem // what is granted beyond the need is not in use
+	}
+	return s.mem * s.wlm.grant
+}
 
 // setTerms names the memory that a statement needs and a priority: the lighter a workload for its
 // importance, the higher; last what is late or beyond its share.
