--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,13 +1,13 @@
 // Package policy decides, for one router, what runs, where and with how much memory.
 //
 // Called: New once at an instance's start, then Handle with what happened; it returns what to
-// do. The interface (ids, settings, events, actions) stands in package decision. The ordinary
-// path of a statement is route, by docs/design.md: lowest score among hashed candidates.
+// do. The interface (ids, settings, events, actions) stands in package decision; package state
+// keeps what is remembered. The ordinary path of a statement is route, by docs/design.md.
 //
 // Beside the design stand six mechanisms:
 //  1. gate: every send and every final answer passes the rules there.
-//  2. clock: one timer, one heap of due times; every statement is answered in time.
-//  3. health: engines that do not connect, fall silent or run slow are left and tried with care.
+//  2. clock: one timer, one ordered row of due times; every statement is answered in time.
+//  3. health: engines that do not connect or fall silent are left and tried with care.
 //  4. further executions: what was lost, is stuck or got a bad plan goes elsewhere, if harmless.
 //  5. holding and shedding: statements wait here while engines are full, by urgency and share.
 //  6. grants and priorities, where engines heed them.
@@ -15,14 +15,15 @@
 
 import (
 	"cmp"
-	"container/heap"
-	"encoding/binary"
-	"hash/fnv"
 	"math"
 	"slices"
 	"time"
 
 	"bankledge/decision"
+	"bankledge/internal/draw"
+	"bankledge/internal/due"
+	"bankledge/internal/span"
+	"bankledge/internal/state"
 )
 
 // The design's figures (marked 'ours' there) and this module's own. All else derives from settings.
@@ -31,25 +32,36 @@
 	warmCost, coldCost    = 1.0, 2.0  // warmth cost
 	warmGroups            = 4         // table groups sent last that count as warm on an engine
 	fanOutStep            = 500       // decayed statements for one further candidate
-	fanOutDecay           = 0.999     // of a group's count, at each of its statements
+	fanOutDecay           = 0.999     // of a table group's count, at each of its statements
 	fanOutMost            = 32
 	windowThreads         = 2.0  // ceiling of a window, in threads a core
 	busyUtil              = 0.65 // above it a candidate counts as congested
 	overUtil              = 0.90 // above it a window is halved
-	roomThreads           = 3.2
-	sweepEvery            = 50 * time.Millisecond
 	probeEvery            = time.Second
 	inlinePeriod          = 500 * time.Millisecond // report period where answers bring reports
-	backoffFirst          = 500 * time.Millisecond // before a left engine is tried again
-	backoffMost           = 8 * time.Second
-	badPlan               = 4.0 // times the expected run that makes an execution worth giving up
-	coldSafety            = 0.6 // of a cold engine's budget, for slow machines and chance
-	capacityShare         = 0.85
-	learnRate             = 0.05
-	grantFirst            = 1.25
-	grantMost             = 3.0
-	grantUp, grantDown    = 0.04, 0.004 // of a workload's grants, at a spill and without one
-	lookedMost            = 24          // held statements that find no room before a pass ends
+
+	sweepEvery         = 50 * time.Millisecond
+	coldSafety         = 0.6                    // of a cold engine's budget, for slow machines and chance
+	coldMargin         = 500 * time.Millisecond // around the rule's times, for what is on its way
+	capacityShare      = 0.85                   // of the cores, busy at capacity
+	learnRate          = 0.05
+	backoffFirst       = 500 * time.Millisecond // before a left engine is tried again
+	backoffMost        = 8 * time.Second
+	badPlan            = 4.0 // times the expected run that make an execution worth giving up
+	roomThreads        = 3.2 // threads a core that all routers together keep on an engine
+	lookedMost         = 24  // held statements that find no room before a pass ends
+	grantFirst         = 1.25
+	grantMost          = 3.0
+	grantUp, grantDown = 0.04, 0.004 // of a workload's grants, at a spill and without one
+)
+
+// Names of the state, short.
+type (
+	workload  = state.Workload
+	engine    = state.Engine
+	window    = state.Window
+	statement = state.Statement
+	execution = state.Execution
 )
 
 // Module is one instance. Instances share nothing.
@@ -57,127 +69,47 @@
 	me        decision.Identity
 	workloads []*workload
 	engines   map[decision.EngineID]*engine
-	fleet     []*engine // by id
-	stmts     map[decision.StatementID]*statement
+	fleet     []*engine                           // by id
+	stmts     map[decision.StatementID]*statement // not over yet
 	held      []*statement
-	slots     map[decision.TableGroup]float64 // decayed count of statements by table group
-	shares    map[decision.MemberGroup]*share
-	overWorth float64
+	counts    map[decision.TableGroup]float64 // decayed count of statements
+	shares    map[decision.MemberGroup]*state.Share
 	gate      gate
-	clock     clock
+	due       due.Times
+	armed     time.Duration // when the one timer comes, 0: not set
+	swept     time.Duration // last sweep
 	traits    decision.Engines
 	limits    decision.Limits
-	reports   decision.Reports
-	followed  time.Duration // when the list was last asked for
+	byProbe   bool          // reports come by probe alone
+	period    time.Duration // report period
+	chance    draw.Source
 	now       time.Duration
 	out       []decision.Action
-	draws     uint64
-}
-
-type workload struct {
-	decision.Workload
-	id    decision.WorkloadID
-	work  float64 // learned mean work, seconds on one thread
-	known bool
-	grant float64 // learned: memory granted over memory estimated
-}
-
-type share struct {
-	perSec, tokens, burst float64
-	at                    time.Duration
-}
-
-type engine struct {
-	decision.Entry
-	listed     bool
-	hash       map[decision.TableGroup]uint64
-	cores, mem float64
-	windows    []window
-	threads    int
-	memOut     float64
-	execs      map[*execution]bool
-	warm       []decision.TableGroup // newest last
-	util       float64
-	utilAt     time.Duration
-	utilKnown  bool
-	queue      float64
-	lastNews   time.Duration
-	stepped    time.Duration
-	leftUntil  time.Duration // not connected or silent until then
-	backoff    time.Duration
-	left       bool
-	pace       float64 // how long executions take, against what was expected
-	coldSent   []sent
-	probing    bool
-	probedAt   time.Duration
-}
-
-type sent struct {
-	at   time.Duration
-	work float64
-}
-
-// window is the AIMD window of one engine and workload.
-type window struct {
-	size, threshold float64
-	refusals        int // full refusals since the last report
-	halved          time.Duration
-	barred          bool
-	late, done      int // executions in this period: past half their SLO time, all
-	inFlight        int
-}
-
-type statement struct {
-	id          decision.StatementID
-	wlm         *workload
-	key         decision.Key
-	tables      decision.TableGroup
-	sloDue, end time.Duration
-	run         time.Duration // expected run on an idle engine
-	work, mem   float64
-	over        bool // beyond its member group's share
-	done        bool
-	streamed    bool
-	isHeld      bool
-	execs       []*execution
-	open        int
-	mayHaveRun  bool
-	home        *engine // of the first execution that may have run
-	homeAt      time.Duration
-	avoid       *engine
-	terms       decision.SetTerms
-}
-
-type execution struct {
-	s         *statement
-	e         *engine
-	n         decision.ExecutionID
-	sent      time.Duration
-	news      time.Duration
-	threads   int
-	mem       float64
-	ended     bool
-	cancelled bool
-	spilled   bool
-	ran       bool
 }
 
 // New opens an instance; each argument is one part's settings.
 func New(me decision.Identity, workloads []decision.Workload, traits decision.Engines,
 	shares decision.Shares, limits decision.Limits, rules decision.Rules, reports decision.Reports) *Module {
 	m := &Module{me: me, engines: map[decision.EngineID]*engine{}, stmts: map[decision.StatementID]*statement{},
-		slots: map[decision.TableGroup]float64{}, shares: map[decision.MemberGroup]*share{},
-		overWorth: shares.OverImportance, traits: traits, limits: limits, reports: reports, followed: -1}
+		counts: map[decision.TableGroup]float64{}, shares: map[decision.MemberGroup]*state.Share{},
+		traits: traits, limits: limits, byProbe: reports.Path == decision.ReportsByProbe, period: inlinePeriod,
+		chance: draw.Source{Seed: me.Seed}}
+	if m.byProbe {
+		m.period = probeEvery
+	}
 	m.gate = gate{rules: rules, routers: float64(max(1, me.Routers)), copies: limits.SecondCopies,
-		most: limits.MaxExecutions, keys: map[decision.Key]*keyLine{}}
+		most: limits.MaxExecutions, keys: map[decision.Key]*state.KeyLine{}}
 	for i, w := range workloads {
 		w.Threads = max(1, w.Threads)
-		m.workloads = append(m.workloads, &workload{Workload: w, id: decision.WorkloadID(i), grant: grantFirst,
-			work: w.SLO.Seconds() / 4 * float64(w.Threads)})
+		m.workloads = append(m.workloads, &workload{Workload: w, ID: decision.WorkloadID(i), Grant: grantFirst,
+			Work: w.SLO.Seconds() / 4 * float64(w.Threads)})
 	}
 	for _, g := range shares.Groups {
 		rate := g.PerSec / m.gate.routers
-		m.shares[g.Group] = &share{perSec: rate, tokens: rate, burst: rate}
+		m.shares[g.Group] = &state.Share{PerSec: rate, Tokens: rate}
+	}
+	if limits.ListOnRequest {
+		m.due.At(0, func() { m.do(decision.FollowList{On: true}) })
 	}
 	return m
 }
@@ -193,7 +125,7 @@
 			m.arrive(ev)
 		case decision.AnswerStarted:
 			if s := m.stmts[ev.Statement]; s != nil {
-				s.streamed = true
+				s.Streamed = true
 			}
 		case decision.ExecutionNoted:
 			m.noted(ev)
@@ -206,17 +138,17 @@
 		case decision.ProbeEnded:
 			m.probed(ev)
 		case decision.TimerFired:
-			m.clock.armed = 0
+			m.armed = 0
 		}
 	}
-	m.runDue()
-	if m.clock.swept == 0 || now >= m.clock.swept+sweepEvery {
-		m.clock.swept = now
+	m.due.Run(now)
+	if now >= m.swept+sweepEvery {
+		m.swept = now
 		m.sweep()
 	}
 	m.dispatch()
-	if at := m.clock.next(); m.clock.armed == 0 || at < m.clock.armed {
-		m.clock.armed = at
+	if at := m.due.Next(m.swept + sweepEvery); m.armed == 0 || at < m.armed {
+		m.armed = at
 		m.do(decision.SetTimer{Token: "due", At: at})
 	}
 	return m.out
@@ -224,75 +156,50 @@
 
 func (m *Module) do(a decision.Action) { m.out = append(m.out, a) }
 
-// chance returns a number in [0, 1) from the seed and a counter.
-func (m *Module) chance() float64 {
-	m.draws++
-	return float64(hash(m.me.Seed, m.draws)>>11) / (1 << 53)
-}
+// ---- The ordinary path: arrive, then (from dispatch) route and send ----
 
-func hash(a, b uint64) uint64 {
-	h := fnv.New64a()
-	var buf [16]byte
-	binary.LittleEndian.PutUint64(buf[:8], a)
-	binary.LittleEndian.PutUint64(buf[8:], b)
-	h.Write(buf[:])
-	x := h.Sum64() // FNV's high bits mix poorly on short input: fold them
-	x ^= x >> 32
-	x *= 0x9E3779B97F4A7C15
-	return x ^ x>>29
-}
-
-// ---- The ordinary path -------------------------------------------------------------------
-
-// arrive takes a statement; route and send are its ordinary path.
 func (m *Module) arrive(ev decision.StatementArrived) {
 	w := m.workloads[ev.Workload]
-	s := &statement{id: ev.Statement, wlm: w, tables: ev.Tables, mem: ev.NeedMB}
+	s := &statement{ID: ev.Statement, Workload: w, Tables: ev.Tables, MemoryMB: ev.NeedMB,
+		End: m.now + ev.TimeBudget, OverShare: m.overShare(ev.Group)}
+	work := w.Work
 	if ev.Estimate > 0 {
-		if !w.known {
-			w.work, w.known = ev.Estimate.Seconds(), true
+		if work = ev.Estimate.Seconds(); !w.Known {
+			w.Work, w.Known = work, true
 		}
-		w.work += learnRate * (ev.Estimate.Seconds() - w.work)
-		s.work = ev.Estimate.Seconds()
-	} else {
-		s.work = w.work
-	}
-	s.run = seconds(s.work / float64(w.Threads))
-	s.sloDue = m.now + w.SLO + time.Duration(w.SLOStretch*float64(s.run))
-	s.end = m.now + ev.TimeBudget
-	s.over = m.overShare(ev.Group)
-	m.stmts[s.id] = s
-	m.slots[s.tables] = m.slots[s.tables]*fanOutDecay + 1
-	m.gate.took(m.now)
-	if w.InOrder && ev.Key != "" {
-		s.key = ev.Key
-		m.gate.line(s)
-	}
-	m.clock.at(s.end-2*max(m.me.Tick, time.Millisecond), func() { m.lastCall(s) })
+		w.Work += learnRate * (work - w.Work)
+	}
+	s.Run = seconds(work / float64(w.Threads))
+	s.SLODue = m.now + w.Allowance(s.Run)
+	m.stmts[s.ID] = s
+	m.counts[s.Tables] = m.counts[s.Tables]*fanOutDecay + 1
+	m.gate.took(m.now, s, ev.Key)
+	m.due.At(s.End-2*max(m.me.Tick, time.Millisecond), func() { m.giveUp(s) })
 	if m.limits.MaxOpen > 0 && len(m.stmts) >= m.limits.MaxOpen-1 {
 		m.giveUp(s)
 		return
 	}
-	m.hold(s)
+	m.held = append(m.held, s)
 }
 
 // route picks the engine for a statement's next execution, or nil to hold it.
 func (m *Module) route(s *statement) *engine {
-	// The rules first: no other engine is looked at.
+	// The rules first, then health: no other engine is looked at.
 	var ready []*engine
 	for _, e := range m.fleet {
-		if m.gate.allows(m.now, s, e) {
+		if m.gate.allows(m.now, s, e) && m.usable(e, s) {
 			ready = append(ready, e)
 		}
 	}
-	if healthy := slices.DeleteFunc(slices.Clone(ready), func(e *engine) bool { return !m.usable(e, s) }); len(healthy) > 0 {
-		ready = healthy
-	} else {
+	if len(ready) > 1 { // not again where it just went wrong, if there is another
+		ready = slices.DeleteFunc(ready, func(e *engine) bool { return e == s.Avoid })
+	}
+	if len(ready) == 0 {
 		return nil
 	}
 	// Candidates: warm engines, then nearer zones, by rendezvous hash; all when these are congested.
 	candidates := m.candidates(s, ready)
-	if !slices.ContainsFunc(candidates, func(e *engine) bool { return !m.congested(e, s.wlm) }) {
+	if !slices.ContainsFunc(candidates, func(e *engine) bool { return !m.congested(e, s.Workload) }) {
 		candidates = ready
 	}
 	// The lowest score takes it, a barred engine only when all are barred.
@@ -300,7 +207,7 @@
 		var best *engine
 		lowest := math.Inf(1)
 		for _, e := range candidates {
-			if e.windows[s.wlm.id].barred != barred || !m.hasRoom(e, s) {
+			if e.Windows[s.Workload.ID].Barred != barred || !m.hasRoom(e, s) {
 				continue
 			}
 			if score := m.score(e, s); score < lowest {
@@ -321,798 +228,567 @@
 	if e.Zone == m.me.Zone {
 		zone = nearWeight
 	}
-	if slices.Contains(e.warm, s.tables) {
+	if e.IsWarm(s.Tables) {
 		warmth = warmCost
 	}
-	inFlight := float64(e.threads) / float64(s.wlm.Threads)
-	return zone * (inFlight + 1) / e.windows[s.wlm.id].size * warmth
+	inFlight := float64(e.Threads) / float64(s.Workload.Threads)
+	return zone * (inFlight + 1) / e.Windows[s.Workload.ID].Size * warmth
 }
 
 // candidates ranks warm engines first, then nearer zones, then by rendezvous hash, and keeps K.
-// A load ranks the hash backwards, away from where its table group is read.
+// A load ranks the hash backwards: it would hold its table group where that is read.
 func (m *Module) candidates(s *statement, ready []*engine) []*engine {
 	warm := 0
+	tier := func(e *engine) int {
+		switch near := e.Zone == m.me.Zone; {
+		case e.IsWarm(s.Tables):
+			return 0
+		case near:
+			return 1
+		}
+		return 2
+	}
 	for _, e := range ready {
-		if slices.Contains(e.warm, s.tables) {
+		if tier(e) == 0 {
 			warm++
 		}
 	}
-	k := max(1, warm, int(m.slots[s.tables]/fanOutStep)+1)
-	k = min(k, fanOutMost, len(ready))
 	ranked := slices.Clone(ready)
 	slices.SortStableFunc(ranked, func(a, b *engine) int {
-		if s.wlm.Load {
-			return cmp.Compare(a.rank(s.tables), b.rank(s.tables))
+		byRank := cmp.Compare(b.Rank(s.Tables), a.Rank(s.Tables))
+		if s.Workload.Load {
+			return -byRank
 		}
-		return cmp.Or(
-			-compareBool(slices.Contains(a.warm, s.tables), slices.Contains(b.warm, s.tables)),
-			-compareBool(a.Zone == m.me.Zone, b.Zone == m.me.Zone),
-			cmp.Compare(b.rank(s.tables), a.rank(s.tables)))
+		return cmp.Or(cmp.Compare(tier(a), tier(b)), byRank)
 	})
-	return ranked[:k]
-}
-
-func (e *engine) rank(tables decision.TableGroup) uint64 {
-	h, ok := e.hash[tables]
-	if !ok {
-		f := fnv.New64a()
-		f.Write([]byte(e.Engine))
-		h = hash(f.Sum64(), uint64(tables))
-		e.hash[tables] = h
-	}
-	return h
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
+	k := max(1, warm, int(m.counts[s.Tables]/fanOutStep)+1)
+	return ranked[:min(k, fanOutMost, len(ranked))]
 }
 
 // congested: full for this router, or reported busy.
 func (m *Module) congested(e *engine, w *workload) bool {
-	win := &e.windows[w.id]
-	return float64(win.inFlight) >= win.size || win.barred || e.utilKnown && e.util > busyUtil
+	win := &e.Windows[w.ID]
+	return float64(win.InFlight) >= win.Size || win.Barred || e.UtilKnown && e.Util > busyUtil
 }
 
-// send starts an execution on an engine that route picked.
 func (m *Module) send(s *statement, e *engine) {
-	x := &execution{s: s, e: e, n: decision.ExecutionID(len(s.execs)), sent: m.now, news: m.now,
-		threads: s.wlm.Threads, mem: m.need(s)}
+	x := &execution{Stmt: s, Engine: e, N: decision.ExecutionID(len(s.Execs)), Sent: m.now, MemoryMB: m.need(s)}
 	m.gate.sent(m.now, s, e)
-	if len(e.execs) == 0 {
-		e.lastNews = m.now
-	}
-	s.execs, s.open, s.mayHaveRun = append(s.execs, x), s.open+1, true
-	if s.home == nil {
-		s.home, s.homeAt = e, m.now
-	}
-	e.execs[x] = true
-	e.threads += x.threads
-	e.memOut += x.mem
-	e.windows[s.wlm.id].inFlight++
-	e.touch(s.tables)
-	m.setTerms(s)
-	m.do(decision.Execute{Statement: s.id, Engine: e.Engine})
-}
-
-func (e *engine) touch(tables decision.TableGroup) {
-	if i := slices.Index(e.warm, tables); i >= 0 {
-		e.warm = slices.Delete(e.warm, i, i+1)
-	}
-	if e.warm = append(e.warm, tables); len(e.warm) > warmGroups {
-		e.warm = e.warm[1:]
+	if len(e.Execs) == 0 {
+		e.LastNews = m.now
 	}
+	e.Holds(x)
+	e.Touch(s.Tables, warmGroups)
+	s.Execs, s.Open = append(s.Execs, x), s.Open+1
+	s.Rehome()
+	m.setTerms(s)
+	m.do(decision.Execute{Statement: s.ID, Engine: e.Engine})
 }
 
-// ---- Windows -------------------------------------------------------------------------------
-
-func (m *Module) period() time.Duration {
-	if m.reports.Path == decision.ReportsByProbe {
-		return probeEvery
-	}
-	return inlinePeriod
-}
+// ---- Windows ----
 
-func (e *engine) ceiling(w *workload) float64 {
-	return max(1, e.cores*windowThreads/float64(w.Threads))
-}
+func ceiling(e *engine, w *workload) float64 { return max(1, e.Cores*windowThreads/float64(w.Threads)) }
 
-// report takes a load report and steps the engine's windows, once a report period.
+// report takes a load report and moves the engine's windows, once a report period.
 func (m *Module) report(e *engine, r *decision.Report) {
 	if r == nil {
 		return
 	}
-	if r.Known[decision.FieldUtilisation] {
-		e.util, e.utilKnown, e.utilAt = r.Value[decision.FieldUtilisation], true, m.now
+	known := r.Known[decision.FieldUtilisation]
+	if known {
+		e.Util, e.UtilKnown = r.Value[decision.FieldUtilisation], true
 	}
 	if r.Known[decision.FieldQueue] {
-		e.queue = r.Value[decision.FieldQueue]
+		e.Queue = r.Value[decision.FieldQueue]
 	}
-	if m.now >= e.stepped+m.period() {
-		m.step(e, r.Known[decision.FieldUtilisation])
+	if m.now >= e.Stepped+m.period {
+		m.step(e, known)
 	}
 }
 
-// step moves the windows of an engine: halved on memory waits, utilisation or, where that is
-// missing, own latency; else doubled below the slow-start threshold and grown by one above it.
+// step halves windows on memory waits, utilisation or, where that is missing, own latency; else it
+// doubles them below the slow-start threshold and adds one above it.
 func (m *Module) step(e *engine, utilKnown bool) {
-	e.stepped = m.now
-	for i := range e.windows {
-		w := &e.windows[i]
-		over := e.queue >= 1 || utilKnown && e.util > overUtil || !utilKnown && w.late*2 > w.done
+	e.Stepped = m.now
+	for i := range e.Windows {
+		w := &e.Windows[i]
 		switch {
-		case w.refusals > 0: // halved at the refusal
-		case over:
+		case w.Refusals > 0: // halved at the refusal
+		case e.Queue >= 1 || utilKnown && e.Util > overUtil || !utilKnown && w.Late*2 > w.Done:
 			m.halve(w)
-		case w.size < w.threshold:
-			w.size = min(w.size*2, e.ceiling(m.workloads[i]))
+		case w.Size < w.Threshold:
+			w.Size = min(w.Size*2, ceiling(e, m.workloads[i]))
 		default:
-			w.size = min(w.size+1, e.ceiling(m.workloads[i]))
-		}
-		if w.refusals == 0 {
-			w.barred = false
+			w.Size = min(w.Size+1, ceiling(e, m.workloads[i]))
 		}
-		w.refusals, w.late, w.done = 0, 0, 0
+		w.Barred = w.Barred && w.Refusals > 0
+		w.Refusals, w.Late, w.Done = 0, 0, 0
 	}
 }
 
 func (m *Module) halve(w *window) {
-	if w.halved > 0 && m.now < w.halved+m.period() {
-		return
+	if w.Halved == 0 || m.now >= w.Halved+m.period {
+		w.Halved, w.Size = m.now, max(1, w.Size/2)
+		w.Threshold = w.Size
 	}
-	w.halved = m.now
-	w.size = max(1, w.size/2)
-	w.threshold = w.size
 }
 
-func (m *Module) refused(e *engine, wlm *workload) {
-	w := &e.windows[wlm.id]
+// refused: a full refusal halves the window and bars the engine for the workload for a while.
+func (m *Module) refused(w *window) {
 	m.halve(w)
-	w.refusals++
-	w.barred = true
-	m.clock.at(m.now+m.period(), func() { w.barred = false })
+	w.Refusals++
+	w.Barred = true
+	m.due.At(m.now+m.period, func() { w.Barred = false })
 }
 
-// ---- 1. The rule gate ----------------------------------------------------------------------
+// firstWindows: the mean window of ready engines of the kind, or 1.
+func (m *Module) firstWindows(e *engine) []window {
+	windows := make([]window, len(m.workloads))
+	for i, w := range m.workloads {
+		sum, n := 0.0, 0.0
+		for _, o := range m.fleet {
+			if o != e && o.Listed && o.State == decision.Ready && o.Kind == e.Kind {
+				sum, n = sum+o.Windows[i].Size, n+1
+			}
+		}
+		windows[i] = window{Size: 1, Threshold: ceiling(e, w)}
+		if n > 0 {
+			windows[i].Size = sum / n
+		}
+	}
+	return windows
+}
+
+// ---- 1. The rule gate ----
 
 type gate struct {
 	rules   decision.Rules
 	routers float64
-	copies  bool
-	most    int
-	keys    map[decision.Key]*keyLine
-	taken   []time.Duration
-	further []time.Duration
-}
-
-type keyLine struct {
-	line      []*statement
-	restUntil time.Duration
-	open      int // executions of statements that are over
+	copies  bool // two executions of a statement may be out at once
+	most    int  // executions of a statement
+	keys    map[decision.Key]*state.KeyLine
+	taken   span.Sum // statements
+	further span.Sum // executions beyond each statement's first
 }
 
 // allows tells whether the rules let this statement go to this engine now.
 func (g *gate) allows(now time.Duration, s *statement, e *engine) bool {
-	if s.done || s.streamed || !e.listed || e.State != decision.Ready || now >= s.end {
-		return false
-	}
-	if g.most > 0 && len(s.execs) >= g.most {
-		return false
-	}
-	// Placement.
-	if len(s.wlm.Zones) > 0 && !slices.Contains(s.wlm.Zones, e.Zone) ||
-		len(s.wlm.Kinds) > 0 && !slices.Contains(s.wlm.Kinds, e.Kind) {
-		return false
-	}
-	// No effect twice.
-	if s.open > 0 && !g.copies {
-		return false
-	}
-	if s.mayHaveRun {
-		switch s.wlm.Effect {
-		case decision.NonIdempotent:
-			return false
-		case decision.Deduplicated:
-			if now >= s.homeAt+s.wlm.DedupWindow || !sameScope(s.wlm.DedupScope, s.home, e) {
-				return false
-			}
-		}
+	w := s.Workload
+	switch {
+	case s.Done, s.Streamed, now >= s.End, s.Open > 0 && !g.copies:
+	case !e.Listed, e.State != decision.Ready: // drains, stricter than their grace
+	case len(w.Zones) > 0 && !slices.Contains(w.Zones, e.Zone):
+	case len(w.Kinds) > 0 && !slices.Contains(w.Kinds, e.Kind):
+	case !g.mayRepeat(now, s):
+	case w.Effect == decision.Deduplicated && s.Home != nil && !dropsRepeats(w.DedupScope, s.Home.Engine, e):
+	case !g.inTurn(now, s), !g.furtherLeft(now, s), !g.coldLeft(now, s, e):
+	default:
+		return true
 	}
-	return g.inTurn(now, s) && g.furtherLeft(now, s) && g.coldLeft(now, s, e)
+	return false
 }
 
-func sameScope(scope decision.Scope, a, b *engine) bool {
-	switch scope {
-	case decision.ScopeZone:
-		return a.Zone == b.Zone
-	case decision.ScopeCell:
-		return a.Cell == b.Cell
-	}
-	return true
+func dropsRepeats(scope decision.Scope, home, e *engine) bool {
+	return scope == decision.ScopeAll || scope == decision.ScopeZone && home.Zone == e.Zone ||
+		scope == decision.ScopeCell && home.Cell == e.Cell
 }
 
-// mayReject: a rejection says that trying again is harmless.
-func (g *gate) mayReject(s *statement) bool {
-	return !s.mayHaveRun || s.wlm.Effect == decision.Idempotent ||
-		s.wlm.Effect == decision.Deduplicated && s.wlm.DedupScope == decision.ScopeAll
+// mayRepeat: no effect twice; what may have run goes again only where that is harmless.
+func (g *gate) mayRepeat(now time.Duration, s *statement) bool {
+	w := s.Workload
+	return (g.most == 0 || len(s.Execs) < g.most) && (s.Home == nil || w.Effect == decision.Idempotent ||
+		w.Effect == decision.Deduplicated && now < s.Home.Sent+w.DedupWindow)
 }
 
-func (g *gate) took(now time.Duration) {
-	if g.rules.FurtherWindow > 0 {
-		g.taken = append(g.taken, now)
-	}
+// mayReject: a rejection says that trying again is harmless.
+func (g *gate) mayReject(s *statement) bool {
+	return s.Home == nil || s.Workload.Effect == decision.Idempotent ||
+		s.Workload.Effect == decision.Deduplicated && s.Workload.DedupScope == decision.ScopeAll
 }
 
-func since(list []time.Duration, from time.Duration) []time.Duration {
-	i := 0
-	for i < len(list) && list[i] <= from {
-		i++
+// took counts a statement and puts it in its key's line.
+func (g *gate) took(now time.Duration, s *statement, key decision.Key) {
+	g.taken.Add(now, 1)
+	g.taken.Over(now - g.rules.FurtherWindow)
+	if s.Workload.InOrder && key != "" {
+		if g.keys[key] == nil {
+			g.keys[key] = &state.KeyLine{}
+		}
+		s.Key = key
+		g.keys[key].Line = append(g.keys[key].Line, s)
 	}
-	return list[i:]
 }
 
-// furtherLeft: further executions stay within their budget in every window.
+// furtherLeft: further executions stay within their budget in every window. A statement taken
+// just a window ago no longer counts, an execution sent then still does.
 func (g *gate) furtherLeft(now time.Duration, s *statement) bool {
-	if g.rules.FurtherWindow == 0 || len(s.execs) == 0 {
-		return true
-	}
-	g.taken, g.further = since(g.taken, now-g.rules.FurtherWindow), since(g.further, now-g.rules.FurtherWindow-time.Millisecond)
-	return float64(len(g.further)+1) <= g.rules.FurtherFree+g.rules.FurtherShare*float64(len(g.taken))
-}
-
-func (g *gate) line(s *statement) {
-	k := g.keys[s.key]
-	if k == nil {
-		k = &keyLine{}
-		g.keys[s.key] = k
-	}
-	k.line = append(k.line, s)
+	window := g.rules.FurtherWindow
+	return window == 0 || len(s.Execs) == 0 ||
+		g.further.Over(now-window)+1 <= g.rules.FurtherFree+g.rules.FurtherShare*g.taken.Over(now-window+1)
 }
 
 // inTurn: a key's statements run one at a time, in the order they were taken.
 func (g *gate) inTurn(now time.Duration, s *statement) bool {
-	if s.key == "" {
-		return true
-	}
-	k := g.keys[s.key]
-	return k.line[0] == s && (len(s.execs) > 0 || k.open == 0 && now >= k.restUntil)
+	k := g.keys[s.Key]
+	return s.Key == "" || k.Line[0] == s && (len(s.Execs) > 0 || k.Open == 0 && now >= k.RestUntil)
 }
 
 // leave takes a statement that is over out of its key's line; its open executions still bar it.
 func (g *gate) leave(s *statement) {
-	if k := g.keys[s.key]; s.key != "" && k != nil {
-		k.line = slices.DeleteFunc(k.line, func(o *statement) bool { return o == s })
-		k.open += s.open
-		g.forget(s.key, k)
+	if k := g.keys[s.Key]; k != nil {
+		k.Line = slices.DeleteFunc(k.Line, func(o *statement) bool { return o == s })
+		k.Open += s.Open
 	}
 }
 
-// settle hears of an ended execution of a statement with a key.
+// settle hears of an outcome; after some of them the execution may still run, and the key rests.
 func (g *gate) settle(now time.Duration, s *statement, o decision.Outcome) {
-	k := g.keys[s.key]
-	if s.key == "" || k == nil {
+	k := g.keys[s.Key]
+	if k == nil {
 		return
 	}
-	if s.done {
-		k.open--
+	if s.Done {
+		k.Open--
 	}
 	if o == decision.TimedOut || o == decision.Reset || o == decision.Cancelled {
-		k.restUntil = max(k.restUntil, now+g.rules.KeyRest)
-	}
-}
-
-func (g *gate) forget(key decision.Key, k *keyLine) {
-	if len(k.line) == 0 && k.open == 0 && k.restUntil == 0 {
-		delete(g.keys, key)
+		k.RestUntil = max(k.RestUntil, now+g.rules.KeyRest)
 	}
 }
 
 // coldLeft: all routers together may send a cold engine only so much work in any window. This
 // router keeps to its part, judged at the capacity that a cold engine has at the very least.
 func (g *gate) coldLeft(now time.Duration, s *statement, e *engine) bool {
-	if !g.isCold(now, e) {
-		return true
-	}
-	total := s.wlm.work
-	for _, c := range e.coldSent {
-		if c.at > now-g.rules.ColdWindow-100*time.Millisecond {
-			total += c.work
-		}
-	}
-	return total <= coldSafety*g.rules.ColdMultiple*g.rules.ColdShare*capacityShare*e.cores*
-		g.rules.ColdWindow.Seconds()/g.routers
+	r := g.rules
+	return !g.isCold(now, e) || e.ColdSent.Over(now-r.ColdWindow-coldMargin)+s.Workload.Work <=
+		coldSafety*r.ColdMultiple*r.ColdShare*capacityShare*e.Cores*r.ColdWindow.Seconds()/g.routers
 }
 
 func (g *gate) isCold(now time.Duration, e *engine) bool {
-	return e.StartedAt > 0 && now < e.StartedAt+g.rules.WarmAfter+time.Second && g.rules.ColdWindow > 0
+	return e.StartedAt > 0 && now < e.StartedAt+g.rules.WarmAfter+coldMargin && g.rules.ColdWindow > 0
 }
 
 func (g *gate) sent(now time.Duration, s *statement, e *engine) {
-	if len(s.execs) > 0 && g.rules.FurtherWindow > 0 {
-		g.further = append(g.further, now)
+	if len(s.Execs) > 0 {
+		g.further.Add(now, 1)
 	}
 	if g.isCold(now, e) {
-		e.coldSent = append(e.coldSent, sent{now, s.wlm.work})
-	}
-}
-
-// ---- 2. The clock --------------------------------------------------------------------------
-
-type due struct {
-	at time.Duration
-	n  int
-	do func()
-}
-
-type dueHeap []due
-
-func (h dueHeap) Len() int { return len(h) }
-func (h dueHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].n < h[j].n
-}
-func (h dueHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *dueHeap) Push(x any)   { *h = append(*h, x.(due)) }
-func (h *dueHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
-
-type clock struct {
-	heap         dueHeap
-	n            int
-	armed, swept time.Duration
-}
-
-func (c *clock) at(at time.Duration, do func()) {
-	c.n++
-	heap.Push(&c.heap, due{at, c.n, do})
-}
-
-func (c *clock) next() time.Duration {
-	next := c.swept + sweepEvery
-	if len(c.heap) > 0 {
-		next = min(next, c.heap[0].at)
-	}
-	return next
-}
-
-func (m *Module) runDue() {
-	for len(m.clock.heap) > 0 && m.clock.heap[0].at <= m.now {
-		heap.Pop(&m.clock.heap).(due).do()
+		e.ColdSent.Add(now, s.Workload.Work)
 	}
 }
 
-// lastCall answers a statement just before its client gives up.
-func (m *Module) lastCall(s *statement) {
-	if !s.done && !s.streamed {
-		m.giveUp(s)
-	}
-}
+// ---- 2. The clock: what ends a statement, and the periodic work ----
 
 // giveUp ends a statement at once: rejected where trying again is harmless, else aborted.
 func (m *Module) giveUp(s *statement) {
-	if m.gate.mayReject(s) {
-		m.do(decision.Reject{Statement: s.id})
-	} else {
-		m.do(decision.Abort{Statement: s.id})
+	switch {
+	case s.Done || s.Streamed:
+		return
+	case !m.gate.mayReject(s):
+		m.do(decision.Abort{Statement: s.ID})
+	case m.limits.RetryAdvice:
+		m.do(decision.Reject{Statement: s.ID, RetryIn: m.limits.MaxRetryAdvice})
+	default:
+		m.do(decision.Reject{Statement: s.ID})
 	}
 	m.finish(s)
 }
 
 // finish forgets a statement that is over and calls off what still runs for it.
 func (m *Module) finish(s *statement) {
-	if s.done {
-		return
-	}
 	m.gate.leave(s)
-	s.done = true
-	delete(m.stmts, s.id)
-	for _, x := range s.execs {
+	s.Done = true
+	delete(m.stmts, s.ID)
+	for _, x := range s.Execs {
 		m.cancel(x)
 	}
 }
 
 func (m *Module) cancel(x *execution) {
-	if !x.ended && !x.cancelled && m.limits.MayCancel {
-		x.cancelled = true
-		m.do(decision.Cancel{Statement: x.s.id, Execution: x.n})
+	if !x.Ended && !x.Cancelled && m.limits.MayCancel {
+		x.Cancelled = true
+		m.do(decision.Cancel{Statement: x.Stmt.ID, Execution: x.N})
 	}
 }
 
-// sweep is the periodic work: probes, silent engines, windows without reports, the list.
+// sweep is the periodic work: silent engines, probes, windows without reports.
 func (m *Module) sweep() {
-	if m.limits.ListOnRequest && (m.followed < 0 || m.now >= m.followed+max(time.Second, m.limits.ListAskedEvery/2)) {
-		m.followed = m.now
-		m.do(decision.FollowList{On: true})
-	}
 	for _, e := range m.fleet {
-		if !e.listed || e.State != decision.Ready {
+		if !e.Listed || e.State != decision.Ready {
 			continue
 		}
 		m.watch(e)
-		every := probeEvery
-		if m.reports.Path != decision.ReportsByProbe {
-			every = 4 * probeEvery
-		}
-		if m.limits.MayProbe && !e.probing && (m.reports.Path == decision.ReportsByProbe || e.left) &&
-			m.now >= e.probedAt+every {
-			e.probing, e.probedAt = true, m.now
+		if m.limits.MayProbe && !e.Probing && (m.byProbe || e.Left) && m.now >= e.ProbedAt+probeEvery {
+			e.Probing, e.ProbedAt = true, m.now
 			m.do(decision.Probe{Engine: e.Engine})
 		}
-		if m.now >= e.stepped+3*m.period() { // reports are missing: own sights stand in
-			e.utilKnown, e.queue = false, 0
+		if m.now >= e.Stepped+3*m.period { // reports are missing: own sights stand in
+			e.UtilKnown, e.Queue = false, 0
 			m.step(e, false)
 		}
-		if n := len(e.coldSent); n > 0 && e.coldSent[n-1].at < m.now-2*m.gate.rules.ColdWindow {
-			e.coldSent = nil
-		}
 	}
 }
 
-// ---- 3. Engine health ----------------------------------------------------------------------
+// ---- 3. Engine health ----
 
 // list takes a change of the engine list, or all of it.
 func (m *Module) list(ev decision.EngineList) {
-	if ev.Kind == decision.ListFailed {
-		m.followed = m.now - m.limits.ListAskedEvery/2 + seconds(1+m.chance())
-		return
+	if ev.Kind == decision.ListFailed && m.limits.ListOnRequest { // not all routers ask again at once
+		m.due.At(m.now+seconds(1+m.chance.Float()), func() { m.do(decision.FollowList{On: true}) })
 	}
-	if ev.Kind != decision.ListPartial {
+	if ev.Kind == decision.ListComplete || ev.Kind == decision.ListPersisted {
 		for _, e := range m.fleet {
-			e.listed = false
+			e.Listed = false
 		}
 	}
 	for _, entry := range ev.Entries {
 		e := m.engines[entry.Engine]
 		if e == nil {
 			machine := m.traits.Machines[entry.Kind]
-			e = &engine{hash: map[decision.TableGroup]uint64{}, execs: map[*execution]bool{}, pace: 1,
-				cores: max(1, machine.Cores), mem: machine.MemoryMB, stepped: m.now, lastNews: m.now}
-			e.Entry = entry
-			e.windows = m.firstWindows(e)
+			e = &engine{Entry: entry, Cores: max(1, machine.Cores), MemoryMB: machine.MemoryMB,
+				Stepped: m.now, LastNews: m.now}
+			e.Windows = m.firstWindows(e)
 			m.engines[entry.Engine] = e
 			m.fleet = append(m.fleet, e)
 			slices.SortFunc(m.fleet, func(a, b *engine) int { return cmp.Compare(a.Engine, b.Engine) })
 		} else if entry.StartedAt > e.StartedAt { // started anew: it holds nothing warm
-			e.warm, e.left, e.backoff = nil, false, 0
-			e.windows = m.firstWindows(e)
-			for x := range e.execs {
-				e.windows[x.s.wlm.id].inFlight++
+			e.Warm, e.Left, e.Lost, e.Backoff = nil, false, false, 0
+			e.Windows = m.firstWindows(e)
+			for _, x := range e.Execs {
+				e.Windows[x.Stmt.Workload.ID].InFlight++
 			}
 		}
-		e.Entry, e.listed = entry, entry.State != decision.Gone
+		e.Entry, e.Listed = entry, entry.State != decision.Gone
 	}
 }
 
-// firstWindows: the mean window of ready engines of the kind, or 1.
-func (m *Module) firstWindows(e *engine) []window {
-	windows := make([]window, len(m.workloads))
-	for i, w := range m.workloads {
-		sum, n := 0.0, 0
-		for _, o := range m.fleet {
-			if o != e && o.listed && o.State == decision.Ready && o.Kind == e.Kind {
-				sum, n = sum+o.windows[i].size, n+1
-			}
-		}
-		windows[i] = window{size: 1, threshold: e.ceiling(w)}
-		if n > 0 {
-			windows[i].size = sum / float64(n)
-		}
-	}
-	return windows
-}
-
-// usable: not left by health; a left engine takes one idempotent statement as a trial.
+// usable: not left; a left engine takes one idempotent statement as a trial after a while.
 func (m *Module) usable(e *engine, s *statement) bool {
-	if !e.left {
-		return s.avoid != e || len(m.fleet) == 1
-	}
-	return m.now >= e.leftUntil && len(e.execs) == 0 && s.wlm.Effect == decision.Idempotent
+	return !e.Left || m.now >= e.LeftUntil && len(e.Execs) == 0 && s.Workload.Effect == decision.Idempotent
 }
 
 // leave stops sending to an engine that does not connect or is silent, for a growing while.
-func (m *Module) leave(e *engine) {
-	if e.left && m.now < e.leftUntil {
-		return
+func (m *Module) leave(e *engine, lost bool) {
+	e.Lost = e.Lost || lost
+	if !e.Left || m.now >= e.LeftUntil {
+		e.Left, e.Backoff = true, min(max(backoffFirst, e.Backoff*2), backoffMost)
+		e.LeftUntil = m.now + e.Backoff
 	}
-	e.left = true
-	e.backoff = min(max(backoffFirst, e.backoff*2), backoffMost)
-	e.leftUntil = m.now + e.backoff
 }
 
+// back takes an engine in again. One whose connections failed may have started anew before the
+// list says so: it counts as cold and holds nothing warm.
 func (m *Module) back(e *engine) {
-	e.left, e.backoff = false, 0
-	e.lastNews = m.now
+	if e.Lost {
+		e.StartedAt, e.Warm = max(e.StartedAt, m.now), nil
+	}
+	e.Left, e.Lost, e.Backoff, e.LastNews = false, false, 0, m.now
 }
 
-// watch finds engines that took work and tell nothing of it.
+// watch finds engines that took work and tell nothing of it, and saves what is stuck there.
 func (m *Module) watch(e *engine) {
-	for x := range e.execs {
-		patience := time.Second + 3*x.s.run
+	for _, x := range e.Execs {
+		patience := time.Second + 3*x.Stmt.Run
 		if m.traits.ProgressEvery > 0 {
 			patience = 2*m.traits.ProgressEvery + 100*time.Millisecond
 		}
-		if m.now > max(e.lastNews, x.sent)+patience {
-			m.leave(e)
+		if m.now > max(e.LastNews, x.Sent)+patience {
+			m.leave(e, false)
 			break
 		}
 	}
-	if !e.left {
-		return
-	}
-	for _, x := range e.inOrder() {
-		if m.now > max(e.lastNews, x.sent)+backoffFirst {
+	for _, x := range e.Execs {
+		if e.Left && m.now > max(e.LastNews, x.Sent)+backoffFirst {
 			m.rescue(x)
 		}
 	}
 }
 
-// inOrder lists what an engine holds in the order of sending, so that no map order shows.
-func (e *engine) inOrder() []*execution {
-	list := make([]*execution, 0, len(e.execs))
-	for x := range e.execs {
-		list = append(list, x)
-	}
-	slices.SortFunc(list, func(a, b *execution) int {
-		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.s.id, b.s.id), cmp.Compare(a.n, b.n))
-	})
-	return list
-}
-
 func (m *Module) probed(ev decision.ProbeEnded) {
 	e := m.engines[ev.Engine]
 	if e == nil {
 		return
 	}
-	e.probing = false
-	switch ev.Outcome {
-	case decision.Completed:
-		if e.left && len(e.execs) == 0 {
-			m.back(e)
-		}
-		m.report(e, ev.Report)
-	case decision.NotConnected:
-		m.leave(e)
+	e.Probing = false
+	m.report(e, ev.Report)
+	if ev.Outcome == decision.NotConnected {
+		m.leave(e, true)
+	} else if ev.Outcome == decision.Completed && e.Left && len(e.Execs) == 0 {
+		m.back(e)
 	}
 }
 
+// ---- 4. Further executions ----
+
+// noted takes news of a running execution: a spill for want of grant, or a bad plan.
 func (m *Module) noted(ev decision.ExecutionNoted) {
-	s, e := m.stmts[ev.Statement], m.engines[ev.Engine]
-	if e != nil {
+	if e := m.engines[ev.Engine]; e != nil {
 		m.back(e)
 	}
-	if s == nil || int(ev.Execution) >= len(s.execs) {
+	s := m.stmts[ev.Statement]
+	if s == nil || int(ev.Execution) >= len(s.Execs) || s.Execs[ev.Execution].Ended {
 		return
 	}
-	x := s.execs[ev.Execution]
-	x.news = m.now
-	if ev.Note == decision.NoteSpills && !x.spilled {
-		x.spilled = true
-		if e.memOut <= e.mem/m.gate.routers { // not for want of memory there: estimates are too low
-			s.wlm.grant = min(grantMost, s.wlm.grant*(1+grantUp))
+	x := s.Execs[ev.Execution]
+	switch ev.Note {
+	case decision.NoteSpills: // with memory left there, estimates are too low
+		if !x.Spilled && x.Engine.MemOut <= x.Engine.MemoryMB/m.gate.routers {
+			s.Workload.Grant = min(grantMost, s.Workload.Grant*(1+grantUp))
 		}
-	}
-	// A bad plan: at its pace this execution takes many times what a new one would.
-	if ev.Note == decision.NoteProgress && !x.ended {
-		elapsed := (m.now - x.sent).Seconds()
+		x.Spilled = true
+	case decision.NoteProgress: // at this pace many times the expected run: a bad plan
+		elapsed := (m.now - x.Sent).Seconds()
 		left := elapsed * (1 - ev.Value) / max(ev.Value, 0.002)
-		if elapsed+left > badPlan*max(s.run.Seconds(), 0.5)*max(1, e.pace) && left > 2*s.run.Seconds()*max(1, e.pace) {
+		if run := s.Run.Seconds(); elapsed+left > badPlan*max(run, 0.5) && left > 2*run {
 			m.rescue(x)
 		}
 	}
 }
 
-// ---- 4. Further executions -----------------------------------------------------------------
-
 // rescue calls off an execution that is stuck or has a bad plan, so that it may go elsewhere.
 func (m *Module) rescue(x *execution) {
-	if x.s.done || x.s.streamed || x.s.wlm.Effect != decision.Idempotent || x.ended ||
-		m.gate.most > 0 && len(x.s.execs) >= m.gate.most {
-		return
+	s := x.Stmt
+	if !s.Done && !s.Streamed && s.Workload.Effect == decision.Idempotent && m.gate.mayRepeat(m.now, s) {
+		m.cancel(x)
 	}
-	x.s.avoid = x.e
-	m.cancel(x)
 }
 
 // ended takes the one outcome of an execution.
 func (m *Module) ended(ev decision.ExecutionEnded) {
-	e, s := m.engines[ev.Engine], m.stmts[ev.Statement]
+	e := m.engines[ev.Engine]
 	if e == nil {
 		return
 	}
-	var x *execution
-	for o := range e.execs {
-		if o.s.id == ev.Statement && o.n == ev.Execution {
-			x = o
-			break
-		}
-	}
+	x := e.Release(ev.Statement, ev.Execution)
 	if x == nil {
 		return
 	}
-	x.ended = true
-	delete(e.execs, x)
-	e.threads -= x.threads
-	e.memOut -= x.mem
-	w := &e.windows[x.s.wlm.id]
-	w.inFlight--
-	x.s.open--
-	m.gate.settle(m.now, x.s, ev.Outcome)
+	s, w := x.Stmt, &e.Windows[x.Stmt.Workload.ID]
+	x.Ended = true
+	s.Open--
+	m.gate.settle(m.now, s, ev.Outcome)
 	switch ev.Outcome {
 	case decision.Completed, decision.Errored:
 		m.back(e)
-		w.done++
-		if m.now-x.sent > (x.s.wlm.SLO+time.Duration(x.s.wlm.SLOStretch*float64(x.s.run)))/2 {
-			w.late++
+		w.Done++
+		if m.now-x.Sent > s.Workload.Allowance(s.Run)/2 {
+			w.Late++
 		}
-		if ev.Outcome == decision.Completed {
-			if !x.spilled {
-				x.s.wlm.grant = max(1, x.s.wlm.grant*(1-grantDown))
-			}
-			stretch := (m.now - x.sent).Seconds() / max(x.s.run.Seconds(), 0.001)
-			e.pace += learnRate * (min(stretch, 20) - e.pace)
+		if ev.Outcome == decision.Completed && !x.Spilled {
+			s.Workload.Grant = max(1, s.Workload.Grant*(1-grantDown))
 		}
 	case decision.Full:
-		m.refused(e, x.s.wlm)
+		m.refused(w)
 	case decision.NotConnected, decision.Reset:
-		m.leave(e)
+		m.leave(e, true)
 	}
+	x.NeverRan = ev.Outcome == decision.Full || ev.Outcome == decision.NotConnected ||
+		ev.Outcome == decision.NeverSent
+	s.Rehome()
 	m.report(e, ev.Report)
-	if s == nil {
-		return
-	}
-	if ev.Outcome == decision.Full || ev.Outcome == decision.NotConnected || ev.Outcome == decision.NeverSent {
-		s.mayHaveRun = slices.ContainsFunc(s.execs, func(o *execution) bool { return !o.ended || o.ran })
-		if !s.mayHaveRun {
-			s.home = nil
-		}
-	} else {
-		x.ran = true
-	}
-	if ev.Over {
+	switch {
+	case s.Done:
+	case ev.Over:
 		m.finish(s)
-		return
-	}
-	if s.open > 0 {
-		return
-	}
-	if m.mayGoAgain(s) {
-		s.avoid = e
-		m.hold(s)
-	} else {
+	case s.Open > 0:
+	case m.now < s.End-2*m.me.Tick && m.gate.mayRepeat(m.now, s):
+		s.Avoid = e
+		m.held = append(m.held, s)
+	default:
 		m.giveUp(s)
 	}
 }
 
-// mayGoAgain: the rules may still allow a further execution.
-func (m *Module) mayGoAgain(s *statement) bool {
-	if m.gate.most > 0 && len(s.execs) >= m.gate.most || m.now >= s.end-2*m.me.Tick {
-		return false
-	}
-	return !s.mayHaveRun || s.wlm.Effect == decision.Idempotent ||
-		s.wlm.Effect == decision.Deduplicated && m.now < s.homeAt+s.wlm.DedupWindow
-}
-
-// ---- 5. Holding and shedding ---------------------------------------------------------------
+// ---- 5. Holding and shedding ----
 
+// overShare counts a statement against its member group's share, this router's part of it.
 func (m *Module) overShare(g decision.MemberGroup) bool {
 	sh := m.shares[g]
-	if sh == nil || sh.perSec <= 0 {
+	if sh == nil || sh.PerSec <= 0 {
 		return false
 	}
-	sh.tokens = min(sh.burst, sh.tokens+sh.perSec*(m.now-sh.at).Seconds())
-	sh.at = m.now
-	if sh.tokens < 1 {
+	sh.Tokens = min(sh.PerSec, sh.Tokens+sh.PerSec*(m.now-sh.At).Seconds())
+	sh.At = m.now
+	if sh.Tokens < 1 {
 		return true
 	}
-	sh.tokens--
+	sh.Tokens--
 	return false
 }
 
-func (m *Module) hold(s *statement) {
-	if !s.isHeld {
-		s.isHeld = true
-		m.held = append(m.held, s)
-	}
-}
-
 // hasRoom: this router's part of an engine's threads and memory is not used up, and no load holds
 // the table group there for a statement that would stand still behind it.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
-	limit := roomThreads * e.cores / m.gate.routers
-	mem := e.mem / m.gate.routers
-	if m.gate.isCold(m.now, e) {
-		warm := (m.now - e.StartedAt).Seconds() / max(m.gate.rules.WarmAfter.Seconds(), 0.001)
-		limit *= min(1, m.gate.rules.ColdShare+(1-m.gate.rules.ColdShare)*warm)
+	limit := roomThreads * e.Cores / m.gate.routers
+	if cold := m.gate.rules.ColdShare; m.gate.isCold(m.now, e) {
+		limit *= min(1, cold+(1-cold)*float64(m.now-e.StartedAt)/float64(max(1, m.gate.rules.WarmAfter)))
 	}
-	if float64(e.threads) >= limit || e.mem > 0 && e.memOut > 0 && e.memOut+m.need(s) > mem {
+	if float64(e.Threads) >= limit ||
+		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.gate.routers {
 		return false
 	}
-	if s.wlm.WaitsForLoads || s.wlm.Load {
-		for x := range e.execs {
-			if x.s.wlm.Load && x.s.tables == s.tables {
-				return false
-			}
-		}
-	}
-	return true
+	return !s.Workload.WaitsForLoads && !s.Workload.Load || !slices.ContainsFunc(e.Execs,
+		func(x *execution) bool { return x.Stmt.Workload.Load && x.Stmt.Tables == s.Tables })
 }
 
-// dispatch sends what is held, most urgent first: within its share and still in time, by the
-// latest start that meets the SLO time; then what is late; then what is beyond its share.
+// dispatch sends what is held, most urgent first: by the latest start that meets the SLO time;
+// what is late comes after that, and what is beyond its share last.
 func (m *Module) dispatch() {
-	if len(m.held) == 0 {
-		return
+	tier := func(s *statement) int {
+		switch {
+		case s.OverShare:
+			return 2
+		case m.now > s.SLODue-s.Run:
+			return 1
+		}
+		return 0
 	}
-	m.held = slices.DeleteFunc(m.held, func(s *statement) bool { return s.done })
 	slices.SortStableFunc(m.held, func(a, b *statement) int {
-		return cmp.Or(cmp.Compare(m.tier(a), m.tier(b)), cmp.Compare(a.sloDue-a.run, b.sloDue-b.run))
+		return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(a.SLODue-a.Run, b.SLODue-b.Run))
 	})
-	kept, looked := m.held[:0], 0
-	for _, s := range m.held {
-		if m.tier(s) > 0 && s.wlm.LateShare == 0 && m.now > s.sloDue-s.run/2 {
-			m.giveUp(s) // no answer in time: worth nothing any more
-			continue
+	looked := 0
+	m.held = slices.DeleteFunc(m.held, func(s *statement) bool {
+		if m.now > s.End-s.Run/2 || s.Workload.LateShare == 0 && m.now > s.SLODue-s.Run/2 {
+			m.giveUp(s) // no answer in time, or none that still counts
 		}
-		if looked < lookedMost && m.gate.inTurn(m.now, s) {
-			if e := m.route(s); e != nil {
-				s.isHeld = false
-				m.send(s, e)
-				continue
-			}
+		if s.Done || looked >= lookedMost || !m.gate.inTurn(m.now, s) {
+			return s.Done
+		}
+		e := m.route(s)
+		if e == nil {
 			looked++
+			return false
 		}
-		kept = append(kept, s)
-	}
-	clear(m.held[len(kept):])
-	m.held = kept
-}
-
-func (m *Module) tier(s *statement) int {
-	switch {
-	case s.over:
-		return 2
-	case m.now > s.sloDue-s.run:
-		return 1
-	}
-	return 0
+		m.send(s, e)
+		return true
+	})
 }
 
-// ---- 6. Grants and priorities --------------------------------------------------------------
+// ---- 6. Grants and priorities ----
 
 // need is the memory that a statement is held to need: its estimate, corrected by what spilled.
 func (m *Module) need(s *statement) float64 {
 	if m.traits.OnShortage == decision.ShortagePage {
-		return s.mem // what is granted beyond the need is not in use
+		return s.MemoryMB // what is granted beyond the need is not in use
 	}
-	return s.mem * s.wlm.grant
+	return s.MemoryMB * s.Workload.Grant
 }
 
-// setTerms names the memory that a statement needs and a priority: the lighter a workload for its
-// importance, the higher; last what is late or beyond its share.
+// setTerms names the grant, and the highest priority for workloads light for their importance.
+// None gets the lowest: what starves keeps its memory and its threads.
 func (m *Module) setTerms(s *statement) {
-	t := decision.SetTerms{Statement: s.id, Priority: 1}
-	if m.traits.Grants && s.mem > 0 {
+	t := decision.SetTerms{Statement: s.ID, Priority: 1}
+	if m.traits.Grants {
 		t.GrantMB = int64(math.Ceil(m.need(s)))
 	}
-	if m.traits.Priorities {
-		best := 0.0
-		for _, w := range m.workloads {
-			best = max(best, w.Importance/w.work)
-		}
-		if s.wlm.Importance/s.wlm.work > best/2 {
-			t.Priority = 3
-		}
+	best := 0.0
+	for _, w := range m.workloads {
+		best = max(best, w.Importance/w.Work)
+	}
+	if m.traits.Priorities && s.Workload.Importance/s.Workload.Work > best/2 {
+		t.Priority = 3
 	}
-	if t != s.terms && (t.GrantMB > 0 || t.Priority != 1 || s.terms.Statement != "") {
-		s.terms = t
+	if t != s.Terms && (t.GrantMB > 0 || t.Priority != 1) {
+		s.Terms = t
 		m.do(t)
 	}
 }
