--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"bankledge/decision"
@@ -70,7 +71,7 @@
 func handle(instances map[int]*policy.Module, g simwire.Group, now time.Duration) (out []decision.Action) {
 	defer func() {
 		if p := recover(); p != nil {
-			out = append(out, decision.Crash{Text: fmt.Sprint(p)})
+			out = append(out, decision.Crash{Text: fmt.Sprintf("%v\n%s", p, debug.Stack())})
 		}
 	}()
 	var events []decision.Event
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,415 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bankledge/decision"
+)
+
+func TestWindow(t *testing.T) {
+	util := func(v float64) *decision.Report {
+		r := &decision.Report{}
+		r.Value[decision.FieldUtilisation], r.Known[decision.FieldUtilisation] = v, true
+		return r
+	}
+	queue := func(v float64) *decision.Report {
+		r := &decision.Report{}
+		r.Value[decision.FieldQueue], r.Known[decision.FieldQueue] = v, true
+		return r
+	}
+	for _, c := range []struct {
+		name                  string
+		size, threshold, want float64
+		report                *decision.Report
+		late, done            int
+	}{
+		{"doubles below the slow-start threshold", 2, 16, 4, util(0.5), 0, 0},
+		{"adds one above it", 8, 4, 9, util(0.5), 0, 0},
+		{"stops at cores x 2 / threads", 12, 16, 16, util(0.5), 0, 0},
+		{"halves on utilisation past 90 percent", 8, 16, 4, util(0.95), 0, 0},
+		{"halves on memory waits", 8, 16, 4, queue(2), 0, 0},
+		{"never below one", 1, 16, 1, queue(2), 0, 0},
+		{"own latency stands in for a missing field", 8, 16, 4, queue(0), 3, 4},
+		{"own latency is not asked where utilisation is told", 8, 16, 16, util(0.5), 3, 4},
+		{"an empty report is no congestion", 8, 16, 16, &decision.Report{}, 0, 0},
+		{"no report, no step", 8, 16, 8, nil, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t).at(0, ready("a"))
+			w := &b.m.engines["a"].Windows[0]
+			w.Size, w.Threshold, w.Late, w.Done = c.size, c.threshold, c.late, c.done
+			b.m.now = time.Second
+			b.m.report(b.m.engines["a"], c.report)
+			assert.Equal(t, c.want, w.Size)
+		})
+	}
+	t.Run("a refusal halves once a period and bars for one", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a", "b"))
+		w := &b.m.engines["a"].Windows[0]
+		w.Size, b.m.now = 8, time.Second
+		b.m.refused(w)
+		b.m.refused(w)
+		assert.Equal(t, 4.0, w.Size)
+		assert.True(t, w.Barred)
+		b.at(time.Second + inlinePeriod)
+		assert.False(t, w.Barred)
+	})
+	t.Run("a new engine starts at the mean of its kind", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a", "b"))
+		b.m.engines["a"].Windows[0].Size, b.m.engines["b"].Windows[0].Size = 6, 10
+		b.at(time.Second, ready("a", "b", "c"))
+		assert.Equal(t, 8.0, b.m.engines["c"].Windows[0].Size)
+	})
+}
+
+func TestScoreAndCandidates(t *testing.T) {
+	b := newBed(t).at(0, ready("a"))
+	e, s := b.m.engines["a"], &statement{Workload: b.m.workloads[0], Tables: 7}
+	for _, c := range []struct {
+		name    string
+		zone    decision.Zone
+		warm    bool
+		threads int
+		size    float64
+		want    float64
+	}{
+		{"near, warm, idle", "z1", true, 0, 4, 8.0 / 4},
+		{"far", "z2", true, 0, 4, 11.0 / 4},
+		{"cold for the table group", "z1", false, 0, 4, 8.0 / 4 * 2},
+		{"in flight, of any workload", "z1", true, 3, 4, 8.0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e.Zone, e.Threads, e.Windows[0].Size, e.Warm = c.zone, c.threads, c.size, nil
+			if c.warm {
+				e.Touch(7, warmGroups)
+			}
+			assert.Equal(t, c.want, b.m.score(e, s))
+		})
+	}
+	t.Run("candidates", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a", "b", "c", "d"))
+		s := &statement{Workload: b.m.workloads[0], Tables: 7}
+		first := b.m.candidates(s, b.m.fleet)
+		require.Len(t, first, 1)
+		other := b.m.fleet[0]
+		if other == first[0] {
+			other = b.m.fleet[1]
+		}
+		other.Touch(7, warmGroups)
+		assert.Equal(t, []*engine{other}, b.m.candidates(s, b.m.fleet), "a warm engine comes first")
+		b.m.counts[7] = fanOutStep
+		assert.Equal(t, []*engine{other, first[0]}, b.m.candidates(s, b.m.fleet), "traffic widens the row")
+		load := &statement{Workload: b.m.workloads[1], Tables: 7}
+		b.m.counts[7] = 0
+		assert.NotEqual(t, first, b.m.candidates(load, b.m.fleet), "a load stays off where its tables are read")
+	})
+	t.Run("a barred engine takes it only when all are barred", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a", "b"))
+		b.m.engines["a"].Windows[0].Barred = true
+		assert.EqualValues(t, "b", b.at(1, read("s1")).sentTo())
+		b.m.engines["b"].Windows[0].Barred = true
+		assert.NotEmpty(t, b.at(2, read("s2")).sentTo())
+	})
+}
+
+// TestGate: a statement with one ended execution on engine a; what may follow.
+func TestGate(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		effect  decision.Effect
+		scope   decision.Scope
+		outcome decision.Outcome
+		after   time.Duration
+		want    string // "sent", "reject" or "abort"
+	}{
+		{"idempotent goes again after an error", decision.Idempotent, 0, decision.Errored, 10 * ms, "sent"},
+		{"non-idempotent that may have run is aborted", decision.NonIdempotent, 0, decision.Reset, 10 * ms, "abort"},
+		{"non-idempotent after a time-out is aborted", decision.NonIdempotent, 0, decision.TimedOut, 10 * ms, "abort"},
+		{"non-idempotent that never ran goes again", decision.NonIdempotent, 0, decision.Full, 10 * ms, "sent"},
+		{"deduplicated goes again in time", decision.Deduplicated, decision.ScopeAll, decision.Reset, 10 * ms, "sent"},
+		{"deduplicated after its window is not sent", decision.Deduplicated, decision.ScopeAll, decision.Reset, 2 * time.Second, "reject"},
+		{"deduplicated stays in its cell", decision.Deduplicated, decision.ScopeCell, decision.Reset, 10 * ms, ""},
+		{"deduplicated in a cell is not rejected after", decision.Deduplicated, decision.ScopeCell, decision.Reset, 2 * time.Second, "abort"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t)
+			b.wlms[0].Effect, b.wlms[0].DedupScope, b.wlms[0].SLO = c.effect, c.scope, 3*time.Second
+			list := ready("a", "b")
+			list.Entries[0].Cell, list.Entries[1].Cell = 1, 2
+			e := b.at(0, list, read("s")).sentTo()
+			require.NotEmpty(t, e)
+			b.at(c.after, end("s", 0, e, c.outcome))
+			got := ""
+			for _, a := range b.out {
+				switch a.(type) {
+				case decision.Execute:
+					got = "sent"
+				case decision.Reject:
+					got = "reject"
+				case decision.Abort:
+					got = "abort"
+				}
+			}
+			assert.Equal(t, c.want, got)
+		})
+	}
+}
+
+func TestPlacesThatRulesForbid(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(b *bed, e *decision.Entry)
+	}{
+		{"draining", func(_ *bed, e *decision.Entry) { e.State = decision.Draining }},
+		{"gone", func(_ *bed, e *decision.Entry) { e.State = decision.Gone }},
+		{"zone not allowed", func(b *bed, e *decision.Entry) { b.wlms[0].Zones = []decision.Zone{"z9"} }},
+		{"kind not allowed", func(b *bed, e *decision.Entry) { b.wlms[0].Kinds = []decision.Kind{"k4"} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, list := newBed(t), ready("a")
+			c.change(b, &list.Entries[0])
+			assert.Empty(t, b.at(0, list, read("s")).sentTo())
+			b.at(4*time.Second-10*ms, decision.TimerFired{})
+			assert.Empty(t, b.sentTo())
+			assert.Empty(t, b.m.stmts, "answered before the client gives up")
+		})
+	}
+	t.Run("no engine at all", func(t *testing.T) {
+		b := newBed(t).at(0, read("s"))
+		assert.Empty(t, b.sentTo())
+		b.at(2 * time.Second)
+		assert.Len(t, pick[decision.Reject](b), 1, "rejected once no answer can count")
+	})
+	t.Run("missing from a complete list", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a", "b")).at(1, ready("b"))
+		assert.EqualValues(t, "b", b.at(2, read("s")).sentTo())
+	})
+}
+
+func TestColdEngineBudget(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		routers int
+		started time.Duration
+		most    float64 // of the rule's budget
+	}{
+		{"one router keeps under the budget", 1, time.Second, 1},
+		{"three routers each keep to a third", 3, time.Second, 1.0 / 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, list := newBed(t), ready("a")
+			b.me.Routers = c.routers
+			list.Entries[0].StartedAt = c.started
+			b.at(c.started, list)
+			sent := 0
+			for i := range 200 {
+				now := c.started + time.Duration(i)*7*ms // 1.4 s, within one window
+				id := decision.StatementID(fmt.Sprint(i))
+				if e := b.at(now, read(id)).sentTo(); e != "" {
+					sent++
+					b.at(now, end(id, 0, e, decision.Completed))
+				}
+			}
+			budget := b.rules.ColdMultiple * b.rules.ColdShare * 8 * b.rules.ColdWindow.Seconds() * c.most
+			assert.Positive(t, sent)
+			assert.LessOrEqual(t, float64(sent)*0.1, budget)
+		})
+	}
+	t.Run("an engine whose connections failed counts as cold when it is back", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a"), read("s"))
+		b.at(ms, end("s", 0, "a", decision.Reset))
+		b.at(2*time.Second, decision.ProbeEnded{Engine: "a", Outcome: decision.Completed})
+		assert.True(t, b.m.gate.isCold(2*time.Second, b.m.engines["a"]))
+	})
+}
+
+func TestOrderByKey(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome decision.Outcome
+		wait    time.Duration // until the second may go
+	}{
+		{"at once after a completed first", decision.Completed, 0},
+		{"after the rest when the first may still run", decision.TimedOut, 500 * ms},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t)
+			b.wlms[1].InOrder, b.rules.KeyRest = true, 500*ms
+			one, two := write("one"), write("two")
+			one.Key, two.Key = "k", "k"
+			e := b.at(0, ready("a", "b"), one, two).sentTo()
+			require.NotEmpty(t, e)
+			b.at(100*ms, end("one", 0, e, c.outcome))
+			assert.Equal(t, c.wait == 0, b.sentTo() != "")
+			if c.wait > 0 {
+				assert.Empty(t, b.at(100*ms+c.wait-1).sentTo())
+				assert.NotEmpty(t, b.at(100*ms+c.wait).sentTo())
+			}
+		})
+	}
+}
+
+func TestFurtherExecutionsWithinBudget(t *testing.T) {
+	b := newBed(t)
+	b.rules.FurtherWindow, b.rules.FurtherFree, b.rules.FurtherShare = 10*time.Second, 1, 0.25
+	b.at(0, ready("a", "b", "c"))
+	sent, taken := map[decision.StatementID]int{}, 0
+	further := func() (n int) {
+		for _, count := range sent {
+			n += count - 1
+		}
+		return n
+	}
+	handle := func(events ...decision.Event) {
+		b.at(time.Duration(taken)*ms, events...)
+		for _, x := range pick[decision.Execute](b) {
+			sent[x.Statement]++
+		}
+		assert.LessOrEqual(t, float64(further()), 1+0.25*float64(taken))
+	}
+	for taken = 1; taken <= 8; taken++ {
+		id := decision.StatementID(fmt.Sprint(taken))
+		handle(read(id))
+		for _, e := range b.m.fleet { // every first execution errs, wherever it went
+			handle(end(id, 0, e.Engine, decision.Errored))
+		}
+	}
+	assert.Equal(t, 3, further())
+}
+
+func TestAnswerClock(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		event  decision.StatementArrived
+		abort  bool
+		budget time.Duration
+	}{
+		{"idempotent is rejected in time", read("s"), false, 4 * time.Second},
+		{"non-idempotent that may run is aborted in time", write("s"), true, 20 * time.Second},
+		{"a budget shorter than the workload's", func() decision.StatementArrived {
+			w := write("s")
+			w.TimeBudget = 3 * time.Second
+			return w
+		}(), true, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t).at(0, ready("a"), c.event)
+			require.NotEmpty(t, b.sentTo())
+			answers := 0
+			for now := 50 * ms; now < c.budget; now += 5 * ms {
+				b.at(now, decision.ExecutionNoted{Statement: "s", Engine: "a", Note: decision.NoteWaits, Value: 2})
+				aborts, rejects := len(pick[decision.Abort](b)), len(pick[decision.Reject](b))
+				answers += aborts + rejects
+				if aborts+rejects > 0 {
+					assert.Equal(t, c.abort, aborts > 0)
+				}
+			}
+			assert.Equal(t, 1, answers)
+			b.at(c.budget, end("s", 0, "a", decision.TimedOut), decision.ClientLeft{Statement: "s"})
+			assert.Empty(t, pick[decision.Abort](b), "over is over")
+		})
+	}
+}
+
+// Failures found: each has its case here.
+func TestFailuresFound(t *testing.T) {
+	note := func(id decision.StatementID, e decision.EngineID, n decision.Note, v float64) decision.ExecutionNoted {
+		return decision.ExecutionNoted{Statement: id, Engine: e, Note: n, Value: v}
+	}
+	t.Run("estimates of memory that run low: grants follow the spills", func(t *testing.T) {
+		b := newBed(t)
+		b.traits.Grants = true
+		ev := read("s")
+		ev.NeedMB = 100
+		e := b.at(0, ready("a"), ev).sentTo()
+		require.Equal(t, int64(125), pick[decision.SetTerms](b)[0].GrantMB)
+		b.at(ms, note("s", e, decision.NoteSpills, 40))
+		ev.Statement = "s2"
+		assert.Greater(t, pick[decision.SetTerms](b.at(2*ms, ev))[0].GrantMB, int64(125))
+	})
+	t.Run("a bad plan is called off and sent elsewhere", func(t *testing.T) {
+		b := newBed(t)
+		b.traits.ProgressEvery = 500 * ms
+		b.wlms[0].SLO, b.wlms[0].LateShare = 3*time.Second, 0.5
+		e := b.at(0, ready("a", "b"), read("s")).sentTo()
+		b.at(500*ms, note("s", e, decision.NoteProgress, 0.05))
+		require.Len(t, pick[decision.Cancel](b), 1)
+		other := b.at(501*ms, end("s", 0, e, decision.Cancelled)).sentTo()
+		assert.NotEmpty(t, other)
+		assert.NotEqual(t, e, other)
+	})
+	t.Run("a silent engine is left and what is stuck there goes elsewhere", func(t *testing.T) {
+		b := newBed(t)
+		b.traits.ProgressEvery = 500 * ms
+		b.wlms[0].SLO = 3 * time.Second
+		e := b.at(0, ready("a", "b"), read("s")).sentTo()
+		b.at(1200 * ms)
+		require.Len(t, pick[decision.Cancel](b), 1)
+		assert.NotEqual(t, e, b.at(1205*ms, end("s", 0, e, decision.Cancelled)).sentTo())
+		assert.NotEqual(t, e, b.at(1210*ms, read("s2")).sentTo())
+	})
+	t.Run("a load and what waits for it do not meet on one engine", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a", "b"))
+		e := b.at(1, write("w")).sentTo()
+		for i := range 4 {
+			assert.NotEqual(t, e, b.at(2, read(decision.StatementID(fmt.Sprint(i)))).sentTo())
+		}
+	})
+	t.Run("late work is never starved at the lowest priority", func(t *testing.T) {
+		b := newBed(t)
+		b.traits.Priorities = true
+		b.wlms[0].LateShare = 0.5
+		b.at(0, read("s"))
+		b.at(1500*ms, ready("a"))
+		require.NotEmpty(t, b.sentTo())
+		for _, terms := range pick[decision.SetTerms](b) {
+			assert.Positive(t, terms.Priority)
+		}
+	})
+	t.Run("beyond a share waits behind what is within it", func(t *testing.T) {
+		b := newBed(t)
+		b.shares = decision.Shares{Groups: []decision.Share{{Group: "g", PerSec: 1}}}
+		for i, id := range []decision.StatementID{"in", "out"} {
+			ev := read(id)
+			ev.Group = "g"
+			b.at(time.Duration(i), ev)
+		}
+		b.at(2, read("other"))
+		b.at(3, ready("a"))
+		sent := pick[decision.Execute](b)
+		require.Len(t, sent, 3)
+		assert.EqualValues(t, "out", sent[2].Statement)
+	})
+	t.Run("the list is asked for where it comes on request, and again after a failure", func(t *testing.T) {
+		b := newBed(t)
+		b.limits.ListOnRequest = true
+		assert.Len(t, pick[decision.FollowList](b.at(0)), 1)
+		b.at(time.Second, decision.EngineList{Kind: decision.ListFailed})
+		assert.Empty(t, pick[decision.FollowList](b))
+		assert.Len(t, pick[decision.FollowList](b.at(3*time.Second)), 1)
+	})
+	t.Run("what is over or unknown is ignored", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a"))
+		b.at(1, end("x", 0, "a", decision.Completed), end("x", 0, "zz", decision.Full), note("x", "a", 1, 0.5),
+			decision.ClientLeft{Statement: "x"}, decision.ProbeEnded{Engine: "zz"}, decision.TimerFired{Token: "?"})
+		assert.Empty(t, pick[decision.Reject](b))
+	})
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() (all []decision.Action) {
+		b := newBed(t).at(0, ready("a", "b", "c"))
+		for i := range 60 {
+			ev := read(decision.StatementID(fmt.Sprint(i)))
+			ev.Tables = decision.TableGroup(i % 7)
+			all = append(all, b.at(time.Duration(i)*20*ms, ev).out...)
+		}
+		return all
+	}
+	assert.Equal(t, run(), run())
+}
