A router's part of the room grows with the routers' number to the power 0.75

Cause: with four routers an even part of an engine is a few threads, and uneven traffic finds it full.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -718,7 +718,7 @@
 // hasRoom: this router's part of an engine's threads and memory is not used up, and no load holds
 // the table group there for a statement that would stand still behind it.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
-	limit := roomThreads * e.Cores / m.gate.routers
+	limit := roomThreads * e.Cores / math.Pow(m.gate.routers, 0.75)
 	if cold := m.gate.rules.ColdShare; m.gate.isCold(m.now, e) {
 		limit *= min(1, cold+(1-cold)*float64(m.now-e.StartedAt)/float64(max(1, m.gate.rules.WarmAfter)))
 	}
