--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,9 +47,11 @@
 	learnRate          = 0.05
 	backoffFirst       = 500 * time.Millisecond // before a left engine is tried again
 	backoffMost        = 8 * time.Second
-	badPlan            = 4.0 // times the expected run that make an execution worth giving up
-	roomThreads        = 3.2 // threads a core that all routers together keep on an engine
-	lookedMost         = 24  // held statements that find no room before a pass ends
+	noteSlack          = 100 * time.Millisecond // for a note to arrive
+	silentSLOs         = 0.6                    // SLO times without news, where there are no notes
+	badPlan            = 4.0                    // times the expected run that make an execution worth giving up
+	roomThreads        = 3.2                    // threads a core that all routers together keep on an engine
+	lookedMost         = 24                     // held statements that find no room before a pass ends
 	grantFirst         = 1.25
 	grantMost          = 3.0
 	grantUp, grantDown = 0.04, 0.004 // of a workload's grants, at a spill and without one
@@ -584,20 +586,16 @@
 	e.Left, e.Lost, e.Backoff, e.LastNews = false, false, 0, m.now
 }
 
-// watch finds engines that took work and tell nothing of it, and saves what is stuck there.
+// watch finds engines that took work and tell nothing of it, and saves what is stuck there. Without
+// notes a silence tells little: statements may stand still behind another router's load.
 func (m *Module) watch(e *engine) {
 	for _, x := range e.Execs {
-		patience := time.Second + 3*x.Stmt.Run
+		patience := time.Duration(silentSLOs * float64(x.Stmt.Workload.Allowance(x.Stmt.Run)))
 		if m.traits.ProgressEvery > 0 {
-			patience = 2*m.traits.ProgressEvery + 100*time.Millisecond
+			patience = 2*m.traits.ProgressEvery + noteSlack
 		}
 		if m.now > max(e.LastNews, x.Sent)+patience {
 			m.leave(e, false)
-			break
-		}
-	}
-	for _, x := range e.Execs {
-		if e.Left && m.now > max(e.LastNews, x.Sent)+backoffFirst {
 			m.rescue(x)
 		}
 	}
