A reset alone is neither a restart nor, with other work alive there, a reason to leave

Each reset made its engine count as cold for 15 s, and nearly all sends stopped. Told from crashes: those break everything at once and then refuse connections. Now only a failed connection makes an engine lost, and a reset leaves it only when nothing else of this router's is alive there. It should also cover idle connections cut by middleboxes; after a crash it costs some failed connects.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -676,8 +676,12 @@
 		}
 	case decision.Full:
 		m.refused(w)
-	case decision.NotConnected, decision.Reset:
+	case decision.NotConnected:
 		m.leave(e, true)
+	case decision.Reset: // a crash breaks all that is out; a flaky link only some, and is no reason to leave
+		if len(e.Execs) == 0 {
+			m.leave(e, false)
+		}
 	}
 	x.NeverRan = ev.Outcome == decision.Full || ev.Outcome == decision.NotConnected ||
 		ev.Outcome == decision.NeverSent
