--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -51,6 +51,7 @@
 	MemOut             float64 // memory of own executions there
 	Warm               []decision.TableGroup
 	Util, Queue        float64
+	Others             float64 // statements there beyond this router's own, as last reported
 	UtilKnown          bool
 	Left, Lost         bool // not sent to; its connections broke or failed
 	LeftUntil, Backoff time.Duration
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,6 +51,7 @@
 	silentSLOs         = 0.6                    // SLO times without news, where there are no notes
 	badPlan            = 4.0                    // times the expected run that make an execution worth giving up
 	roomThreads        = 3.2                    // threads a core that all routers together keep on an engine
+	crowdMost          = 1.8                    // statements a core, of all routers and of what time-outs left behind
 	lookedMost         = 24                     // held statements that find no room before a pass ends
 	grantFirst         = 1.25
 	grantMost          = 3.0
@@ -303,6 +304,9 @@
 	if r.Known[decision.FieldQueue] {
 		e.Queue = r.Value[decision.FieldQueue]
 	}
+	if r.Known[decision.FieldInFlight] {
+		e.Others = max(0, r.Value[decision.FieldInFlight]-float64(len(e.Execs)))
+	}
 	if m.now >= e.Stepped+m.period {
 		m.step(e, known)
 	}
@@ -524,7 +528,7 @@
 			m.do(decision.Probe{Engine: e.Engine})
 		}
 		if m.now >= e.Stepped+3*m.period { // reports are missing: own sights stand in
-			e.UtilKnown, e.Queue = false, 0
+			e.UtilKnown, e.Queue, e.Others = false, 0, 0
 			m.step(e, false)
 		}
 	}
@@ -724,7 +728,7 @@
 	if cold := m.gate.rules.ColdShare; m.gate.isCold(m.now, e) {
 		limit *= min(1, cold+(1-cold)*float64(m.now-e.StartedAt)/float64(max(1, m.gate.rules.WarmAfter)))
 	}
-	if float64(e.Threads) >= limit ||
+	if float64(e.Threads) >= limit || e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores ||
 		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.gate.routers {
 		return false
 	}
