--- a/policy/policy.go
+++ b/policy/policy.go
@@ -742,10 +742,8 @@
 	tier := func(s *statement) int {
 		switch {
 		case s.OverShare:
-			return 3
-		case m.now > s.SLODue-s.Run:
 			return 2
-		case !m.light(s.Workload):
+		case m.now > s.SLODue-s.Run:
 			return 1
 		}
 		return 0
@@ -788,7 +786,11 @@
 	if m.traits.Grants {
 		t.GrantMB = int64(math.Ceil(m.need(s)))
 	}
-	if m.traits.Priorities && m.light(s.Workload) {
+	best := 0.0
+	for _, w := range m.workloads {
+		best = max(best, w.Importance/w.Work)
+	}
+	if m.traits.Priorities && s.Workload.Importance/s.Workload.Work > best/2 {
 		t.Priority = 3
 	}
 	if t != s.Terms && (t.GrantMB > 0 || t.Priority != 1) {
@@ -797,13 +799,4 @@
 	}
 }
 
-// light: much importance for its work, against the best workload there is.
-func (m *Module) light(w *workload) bool {
-	best := 0.0
-	for _, o := range m.workloads {
-		best = max(best, o.Importance/o.Work)
-	}
-	return w.Importance/w.Work > best/2
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
