--- a/policy/policy.go
+++ b/policy/policy.go
@@ -202,9 +202,18 @@
 	}
 	// Candidates: warm engines, then nearer zones, by rendezvous hash; all when these are congested.
 	candidates := m.candidates(s, ready)
+	if s.Workload.Load && m.hasRoom(candidates[0], s) {
+		return candidates[0]
+	}
 	if !slices.ContainsFunc(candidates, func(e *engine) bool { return !m.congested(e, s.Workload) }) {
 		candidates = ready
 	}
+	if s.Workload.WaitsForLoads && len(candidates) > 1 { // keep off the engine that takes this group's loads
+		last := slices.MinFunc(ready, func(a, b *engine) int {
+			return cmp.Compare(a.Rank(s.Tables), b.Rank(s.Tables))
+		})
+		candidates = slices.DeleteFunc(slices.Clone(candidates), func(e *engine) bool { return e == last })
+	}
 	// The lowest score takes it, a barred engine only when all are barred.
 	for _, barred := range []bool{false, true} {
 		var best *engine
@@ -264,6 +273,9 @@
 		}
 		return cmp.Or(cmp.Compare(tier(a), tier(b)), byRank)
 	})
+	if s.Workload.Load {
+		return ranked[:1]
+	}
 	k := max(1, warm, int(m.counts[s.Tables]/fanOutStep)+1)
 	return ranked[:min(k, fanOutMost, len(ranked))]
 }
