--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -59,6 +59,7 @@
 	Probing            bool
 	ProbedAt           time.Duration
 	ColdSent           span.Sum
+	LoadedUntil        map[decision.TableGroup]time.Duration // another router's load holds the group
 	ranks              map[decision.TableGroup]uint64
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,7 +51,9 @@
 	silentSLOs         = 0.6                    // SLO times without news, where there are no notes
 	badPlan            = 4.0                    // times the expected run that make an execution worth giving up
 	roomThreads        = 3.2                    // threads a core that all routers together keep on an engine
-	crowdMost          = 1.8                    // statements a core, of all routers and of what time-outs left behind
+	crowdMost          = 1.6                    // statements a core, of all routers and of what time-outs left behind
+	waitsForLoad       = 2                      // in a note: what it waits for
+	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
 	lookedMost         = 24                     // held statements that find no room before a pass ends
 	grantFirst         = 1.25
 	grantMost          = 3.0
@@ -202,18 +204,9 @@
 	}
 	// Candidates: warm engines, then nearer zones, by rendezvous hash; all when these are congested.
 	candidates := m.candidates(s, ready)
-	if s.Workload.Load && m.hasRoom(candidates[0], s) {
-		return candidates[0]
-	}
 	if !slices.ContainsFunc(candidates, func(e *engine) bool { return !m.congested(e, s.Workload) }) {
 		candidates = ready
 	}
-	if s.Workload.WaitsForLoads && len(candidates) > 1 { // keep off the engine that takes this group's loads
-		last := slices.MinFunc(ready, func(a, b *engine) int {
-			return cmp.Compare(a.Rank(s.Tables), b.Rank(s.Tables))
-		})
-		candidates = slices.DeleteFunc(slices.Clone(candidates), func(e *engine) bool { return e == last })
-	}
 	// The lowest score takes it, a barred engine only when all are barred.
 	for _, barred := range []bool{false, true} {
 		var best *engine
@@ -273,9 +266,6 @@
 		}
 		return cmp.Or(cmp.Compare(tier(a), tier(b)), byRank)
 	})
-	if s.Workload.Load {
-		return ranked[:1]
-	}
 	k := max(1, warm, int(m.counts[s.Tables]/fanOutStep)+1)
 	return ranked[:min(k, fanOutMost, len(ranked))]
 }
@@ -563,7 +553,7 @@
 		if e == nil {
 			machine := m.traits.Machines[entry.Kind]
 			e = &engine{Entry: entry, Cores: max(1, machine.Cores), MemoryMB: machine.MemoryMB,
-				Stepped: m.now, LastNews: m.now}
+				Stepped: m.now, LastNews: m.now, LoadedUntil: map[decision.TableGroup]time.Duration{}}
 			e.Windows = m.firstWindows(e)
 			m.engines[entry.Engine] = e
 			m.fleet = append(m.fleet, e)
@@ -649,6 +639,11 @@
 			s.Workload.Grant = min(grantMost, s.Workload.Grant*(1+grantUp))
 		}
 		x.Spilled = true
+	case decision.NoteWaits: // another router's load holds its tables there: others keep off for a while
+		if ev.Value == waitsForLoad {
+			x.Engine.LoadedUntil[s.Tables] = m.now + loadKnown*m.traits.ProgressEvery
+			m.rescue(x)
+		}
 	case decision.NoteProgress: // at this pace many times the expected run: a bad plan
 		elapsed := (m.now - x.Sent).Seconds()
 		left := elapsed * (1 - ev.Value) / max(ev.Value, 0.002)
@@ -744,7 +739,7 @@
 		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.gate.routers {
 		return false
 	}
-	return !s.Workload.WaitsForLoads && !s.Workload.Load || !slices.ContainsFunc(e.Execs,
+	return !s.Workload.WaitsForLoads && !s.Workload.Load || m.now >= e.LoadedUntil[s.Tables] && !slices.ContainsFunc(e.Execs,
 		func(x *execution) bool { return x.Stmt.Workload.Load && x.Stmt.Tables == s.Tables })
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -365,6 +365,21 @@
 			assert.NotEqual(t, e, b.at(2, read(decision.StatementID(fmt.Sprint(i)))).sentTo())
 		}
 	})
+	t.Run("a note of waiting for another router's load keeps its table group off that engine", func(t *testing.T) {
+		b := newBed(t)
+		b.traits.ProgressEvery = 500 * ms
+		b.wlms[0].SLO = 3 * time.Second
+		e := b.at(0, ready("a", "b"), read("s")).sentTo()
+		b.at(500*ms, note("s", e, decision.NoteWaits, waitsForLoad))
+		require.Len(t, pick[decision.Cancel](b), 1)
+		assert.NotEqual(t, e, b.at(501*ms, read("s2")).sentTo(), "the group it waits for")
+		other := read("s3")
+		other.Tables = 9
+		b.m.engines["a"].Touch(9, warmGroups)
+		b.m.engines["b"].Touch(9, warmGroups)
+		b.at(502*ms, end("s", 0, e, decision.Cancelled))
+		assert.Equal(t, e, b.at(503*ms, other).sentTo(), "another group")
+	})
 	t.Run("late work is never starved at the lowest priority", func(t *testing.T) {
 		b := newBed(t)
 		b.traits.Priorities = true
