--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -18,6 +18,7 @@
 	Work  float64 // learned mean work, seconds on one thread
 	Known bool    // Work comes from an estimate
 	Grant float64 // learned memory needed over memory estimated
+	Pace  float64 // learned time taken over expected run
 }
 
 // Allowance is the SLO time with its stretch, for a statement of this expected run.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,6 +54,7 @@
 	crowdMost          = 1.6                    // statements a core, of all routers and of what time-outs left behind
 	waitsForLoad       = 2                      // in a note: what it waits for
 	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
+	paceMost           = 5.0                    // one execution's time over its expected run, as far as it is learned from
 	lookedMost         = 24                     // held statements that find no room before a pass ends
 	grantFirst         = 1.25
 	grantMost          = 3.0
@@ -107,7 +108,7 @@
 	for i, w := range workloads {
 		w.Threads = max(1, w.Threads)
 		m.workloads = append(m.workloads, &workload{Workload: w, ID: decision.WorkloadID(i), Grant: grantFirst,
-			Work: w.SLO.Seconds() / 4 * float64(w.Threads)})
+			Pace: 1, Work: w.SLO.Seconds() / 4 * float64(w.Threads)})
 	}
 	for _, g := range shares.Groups {
 		rate := g.PerSec / m.gate.routers
@@ -682,6 +683,9 @@
 		if m.now-x.Sent > s.Workload.Allowance(s.Run)/2 {
 			w.Late++
 		}
+		if took := float64(m.now - x.Sent); s.Run > 0 {
+			s.Workload.Pace += learnRate * (min(paceMost, took/float64(s.Run)) - s.Workload.Pace)
+		}
 		if ev.Outcome == decision.Completed && !x.Spilled {
 			s.Workload.Grant = max(1, s.Workload.Grant*(1-grantDown))
 		}
@@ -746,21 +750,24 @@
 // dispatch sends what is held, most urgent first: by the latest start that meets the SLO time;
 // what is late comes after that, and what is beyond its share last.
 func (m *Module) dispatch() {
+	start := func(s *statement) time.Duration { // the latest that meets the SLO time, as engines are now
+		return s.SLODue - time.Duration(s.Workload.Pace*float64(s.Run))
+	}
 	tier := func(s *statement) int {
 		switch {
 		case s.OverShare:
 			return 2
-		case m.now > s.SLODue-s.Run:
+		case m.now > start(s):
 			return 1
 		}
 		return 0
 	}
 	slices.SortStableFunc(m.held, func(a, b *statement) int {
-		return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(a.SLODue-a.Run, b.SLODue-b.Run))
+		return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(start(a), start(b)))
 	})
 	looked := 0
 	m.held = slices.DeleteFunc(m.held, func(s *statement) bool {
-		if m.now > s.End-s.Run/2 || s.Workload.LateShare == 0 && m.now > s.SLODue-s.Run/2 {
+		if m.now > s.End-s.Run/2 || s.Workload.LateShare == 0 && m.now > (s.SLODue+start(s))/2 {
 			m.giveUp(s) // no answer in time, or none that still counts
 		}
 		if s.Done || looked >= lookedMost || !m.gate.inTurn(m.now, s) {
