--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,7 +54,7 @@
 	crowdMost          = 1.6                    // statements a core, of all routers and of what time-outs left behind
 	waitsForLoad       = 2                      // in a note: what it waits for
 	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
-	paceMost           = 5.0                    // one execution's time over its expected run, as far as it is learned from
+	paceStep           = 0.02                   // of a workload's pace, up or down at each answer
 	lookedMost         = 24                     // held statements that find no room before a pass ends
 	grantFirst         = 1.25
 	grantMost          = 3.0
@@ -683,8 +683,10 @@
 		if m.now-x.Sent > s.Workload.Allowance(s.Run)/2 {
 			w.Late++
 		}
-		if took := float64(m.now - x.Sent); s.Run > 0 {
-			s.Workload.Pace += learnRate * (min(paceMost, took/float64(s.Run)) - s.Workload.Pace)
+		if pace := &s.Workload.Pace; float64(m.now-x.Sent) > *pace*float64(s.Run) { // tracks the median
+			*pace *= 1 + paceStep
+		} else {
+			*pace /= 1 + paceStep
 		}
 		if ev.Outcome == decision.Completed && !x.Spilled {
 			s.Workload.Grant = max(1, s.Workload.Grant*(1-grantDown))
