A probe brings back only engines that refused connections; silent ones need a trial

Cause: a shallow probe is answered beside the queue and tells only of a process, so a hung engine came back each second. Others unchanged.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -570,9 +570,10 @@
 	}
 }
 
-// usable: not left; a left engine takes one idempotent statement as a trial after a while.
+// usable: not left; a left engine takes one statement as a trial after a while, idempotent if it can be.
 func (m *Module) usable(e *engine, s *statement) bool {
-	return !e.Left || m.now >= e.LeftUntil && len(e.Execs) == 0 && s.Workload.Effect == decision.Idempotent
+	return !e.Left || len(e.Execs) == 0 && m.now >= e.LeftUntil &&
+		(s.Workload.Effect == decision.Idempotent || m.now >= e.LeftUntil+backoffMost)
 }
 
 // leave stops sending to an engine that does not connect or is silent, for a growing while.
@@ -617,7 +618,7 @@
 	m.report(e, ev.Report)
 	if ev.Outcome == decision.NotConnected {
 		m.leave(e, true)
-	} else if ev.Outcome == decision.Completed && e.Left && len(e.Execs) == 0 {
+	} else if ev.Outcome == decision.Completed && e.Lost { // it tells of a process, not that work gets done
 		m.back(e)
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -358,6 +358,29 @@
 		assert.NotEqual(t, e, b.at(1205*ms, end("s", 0, e, decision.Cancelled)).sentTo())
 		assert.NotEqual(t, e, b.at(1210*ms, read("s2")).sentTo())
 	})
+	t.Run("a probe's answer does not bring a silent engine back, an execution's does", func(t *testing.T) {
+		b := newBed(t)
+		b.wlms[0].SLO = time.Second
+		e := b.at(0, ready("a"), read("s")).sentTo()
+		b.at(2 * time.Second)
+		require.True(t, b.m.engines[e].Left)
+		b.at(2*time.Second+ms, end("s", 0, e, decision.Cancelled))
+		b.at(2*time.Second+2*ms, decision.ProbeEnded{Engine: e, Outcome: decision.Completed})
+		assert.True(t, b.m.engines[e].Left)
+		assert.NotEmpty(t, b.at(4*time.Second, read("trial")).sentTo(), "one trial")
+		assert.Empty(t, b.at(4*time.Second+ms, read("more")).sentTo(), "and no more")
+		b.at(4*time.Second+2*ms, end("trial", 0, e, decision.Completed))
+		assert.False(t, b.m.engines[e].Left)
+	})
+	t.Run("starts are judged by the workload's pace", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a"))
+		for i := range 100 {
+			now, id := time.Duration(i)*time.Second, decision.StatementID(fmt.Sprint(i))
+			e := b.at(now, read(id)).sentTo()
+			b.at(now+300*ms, end(id, 0, e, decision.Completed))
+		}
+		assert.InDelta(t, 3, b.m.workloads[0].Pace, 0.3, "three times the expected 100 ms")
+	})
 	t.Run("a load and what waits for it do not meet on one engine", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a", "b"))
 		e := b.at(1, write("w")).sentTo()
