--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,6 +55,7 @@
 	waitsForLoad       = 2                      // in a note: what it waits for
 	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
 	paceStep           = 0.02                   // of a workload's pace, up or down at each answer
+	slowFrom           = 1.5                    // times the usual pace: an engine slower than that has less room
 	lookedMost         = 24                     // held statements that find no room before a pass ends
 	grantFirst         = 1.25
 	grantMost          = 3.0
@@ -741,7 +742,8 @@
 		limit *= min(1, cold+(1-cold)*float64(m.now-e.StartedAt)/float64(max(1, m.gate.rules.WarmAfter)))
 	}
 	// An engine slower than others takes less: what it holds would be late, for whatever reason.
-	if float64(e.Threads)*e.Pace >= limit || (e.Others+float64(len(e.Execs)))*e.Pace >= crowdMost*e.Cores ||
+	slow := max(1, e.Pace/slowFrom)
+	if float64(e.Threads)*slow >= limit || (e.Others+float64(len(e.Execs)))*slow >= crowdMost*e.Cores ||
 		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.gate.routers {
 		return false
 	}
