--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -60,7 +60,6 @@
 	Probing            bool
 	ProbedAt           time.Duration
 	ColdSent           span.Sum
-	Pace               float64                               // learned time taken there over what is usual for the workload
 	LoadedUntil        map[decision.TableGroup]time.Duration // another router's load holds the group
 	ranks              map[decision.TableGroup]uint64
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,7 +55,6 @@
 	waitsForLoad       = 2                      // in a note: what it waits for
 	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
 	paceStep           = 0.02                   // of a workload's pace, up or down at each answer
-	slowFrom           = 1.5                    // times the usual pace: an engine slower than that has less room
 	lookedMost         = 24                     // held statements that find no room before a pass ends
 	grantFirst         = 1.25
 	grantMost          = 3.0
@@ -555,7 +554,7 @@
 		if e == nil {
 			machine := m.traits.Machines[entry.Kind]
 			e = &engine{Entry: entry, Cores: max(1, machine.Cores), MemoryMB: machine.MemoryMB,
-				Stepped: m.now, LastNews: m.now, Pace: 1, LoadedUntil: map[decision.TableGroup]time.Duration{}}
+				Stepped: m.now, LastNews: m.now, LoadedUntil: map[decision.TableGroup]time.Duration{}}
 			e.Windows = m.firstWindows(e)
 			m.engines[entry.Engine] = e
 			m.fleet = append(m.fleet, e)
@@ -685,9 +684,11 @@
 		if m.now-x.Sent > s.Workload.Allowance(s.Run)/2 {
 			w.Late++
 		}
-		took, usual := float64(m.now-x.Sent), s.Workload.Pace*float64(s.Run)
-		s.Workload.Pace = track(s.Workload.Pace, took > usual)
-		e.Pace = max(1, track(e.Pace, took > usual*e.Pace))
+		if pace := &s.Workload.Pace; float64(m.now-x.Sent) > *pace*float64(s.Run) { // tracks the median
+			*pace *= 1 + paceStep
+		} else {
+			*pace /= 1 + paceStep
+		}
 		if ev.Outcome == decision.Completed && !x.Spilled {
 			s.Workload.Grant = max(1, s.Workload.Grant*(1-grantDown))
 		}
@@ -741,9 +742,7 @@
 	if cold := m.gate.rules.ColdShare; m.gate.isCold(m.now, e) {
 		limit *= min(1, cold+(1-cold)*float64(m.now-e.StartedAt)/float64(max(1, m.gate.rules.WarmAfter)))
 	}
-	// An engine slower than others takes less: what it holds would be late, for whatever reason.
-	slow := max(1, e.Pace/slowFrom)
-	if float64(e.Threads)*slow >= limit || (e.Others+float64(len(e.Execs)))*slow >= crowdMost*e.Cores ||
+	if float64(e.Threads) >= limit || e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores ||
 		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.gate.routers {
 		return false
 	}
@@ -817,12 +816,4 @@
 	}
 }
 
-// track moves a learned value towards the median of what it is compared with.
-func track(v float64, up bool) float64 {
-	if up {
-		return v * (1 + paceStep)
-	}
-	return v / (1 + paceStep)
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
