--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,7 +41,7 @@
 	inlinePeriod          = 500 * time.Millisecond // report period where answers bring reports
 
 	sweepEvery         = 50 * time.Millisecond
-	coldSafety         = 1.0                    // of a cold engine's budget, for slow machines and chance
+	coldSafety         = 0.6                    // of a cold engine's budget, for slow machines and chance
 	coldMargin         = 500 * time.Millisecond // around the rule's times, for what is on its way
 	capacityShare      = 0.85                   // of the cores, busy at capacity
 	learnRate          = 0.05
