--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"bankledge/decision"
-	"bankledge/internal/draw"
 	"bankledge/internal/span"
 )
 
@@ -61,18 +60,6 @@
 	ProbedAt           time.Duration
 	ColdSent           span.Sum
 	LoadedUntil        map[decision.TableGroup]time.Duration // another router's load holds the group
-	ranks              map[decision.TableGroup]uint64
-}
-
-// Rank is the engine's rendezvous weight for a table group.
-func (e *Engine) Rank(tables decision.TableGroup) uint64 {
-	if e.ranks == nil {
-		e.ranks = map[decision.TableGroup]uint64{}
-	}
-	if _, ok := e.ranks[tables]; !ok {
-		e.ranks[tables] = draw.Rank(string(e.Engine), uint64(tables))
-	}
-	return e.ranks[tables]
 }
 
 // IsWarm tells whether the table group is among those sent there lately.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,7 +55,7 @@
 	waitsForLoad       = 2                      // in a note: what it waits for
 	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
 	paceStep           = 0.02                   // of a workload's pace, up or down at each answer
-	lookedMost         = 24                     // held statements that find no room before a pass ends
+	lookedMost         = 8                      // statements of a workload that find no room before a pass skips the rest
 	grantFirst         = 1.25
 	grantMost          = 3.0
 	grantUp, grantDown = 0.04, 0.004 // of a workload's grants, at a spill and without one
@@ -76,12 +76,17 @@
 	workloads []*workload
 	engines   map[decision.EngineID]*engine
 	fleet     []*engine                           // by id
+	rankings  map[decision.TableGroup][]*engine   // the fleet by rendezvous hash
 	stmts     map[decision.StatementID]*statement // not over yet
 	held      []*statement
 	counts    map[decision.TableGroup]float64 // decayed count of statements
 	shares    map[decision.MemberGroup]*state.Share
 	gate      gate
 	due       due.Times
+	ready     []*engine     // scratch of route
+	picked    []*engine     // scratch of candidates
+	tried     int           // held statements that found no room since the last stir
+	stirred   bool          // what is held may find room that it did not find before
 	armed     time.Duration // when the one timer comes, 0: not set
 	swept     time.Duration // last sweep
 	traits    decision.Engines
@@ -97,7 +102,7 @@
 func New(me decision.Identity, workloads []decision.Workload, traits decision.Engines,
 	shares decision.Shares, limits decision.Limits, rules decision.Rules, reports decision.Reports) *Module {
 	m := &Module{me: me, engines: map[decision.EngineID]*engine{}, stmts: map[decision.StatementID]*statement{},
-		counts: map[decision.TableGroup]float64{}, shares: map[decision.MemberGroup]*state.Share{},
+		rankings: map[decision.TableGroup][]*engine{}, counts: map[decision.TableGroup]float64{}, shares: map[decision.MemberGroup]*state.Share{},
 		traits: traits, limits: limits, byProbe: reports.Path == decision.ReportsByProbe, period: inlinePeriod,
 		chance: draw.Source{Seed: me.Seed}}
 	if m.byProbe {
@@ -127,6 +132,7 @@
 		switch ev := event.(type) {
 		case decision.EngineList:
 			m.list(ev)
+			m.stirred = true
 		case decision.StatementArrived:
 			m.arrive(ev)
 		case decision.AnswerStarted:
@@ -135,21 +141,24 @@
 			}
 		case decision.ExecutionNoted:
 			m.noted(ev)
+			m.stirred = true
 		case decision.ExecutionEnded:
 			m.ended(ev)
+			m.stirred = true
 		case decision.ClientLeft:
 			if s := m.stmts[ev.Statement]; s != nil {
 				m.finish(s)
 			}
 		case decision.ProbeEnded:
 			m.probed(ev)
+			m.stirred = true
 		case decision.TimerFired:
 			m.armed = 0
 		}
 	}
 	m.due.Run(now)
 	if now >= m.swept+sweepEvery {
-		m.swept = now
+		m.swept, m.stirred = now, true
 		m.sweep()
 	}
 	m.dispatch()
@@ -189,12 +198,13 @@
 // route picks the engine for a statement's next execution, or nil to hold it.
 func (m *Module) route(s *statement) *engine {
 	// The rules first, then health: no other engine is looked at.
-	var ready []*engine
-	for _, e := range m.fleet {
+	ready := m.ready[:0]
+	for _, e := range m.ranked(s.Tables) {
 		if m.gate.allows(m.now, s, e) && m.usable(e, s) {
 			ready = append(ready, e)
 		}
 	}
+	m.ready = ready
 	if len(ready) > 1 { // not again where it just went wrong, if there is another
 		ready = slices.DeleteFunc(ready, func(e *engine) bool { return e == s.Avoid })
 	}
@@ -239,34 +249,55 @@
 	return zone * (inFlight + 1) / e.Windows[s.Workload.ID].Size * warmth
 }
 
-// candidates ranks warm engines first, then nearer zones, then by rendezvous hash, and keeps K.
-// A load ranks the hash backwards: it would hold its table group where that is read.
-func (m *Module) candidates(s *statement, ready []*engine) []*engine {
-	warm := 0
-	tier := func(e *engine) int {
-		switch near := e.Zone == m.me.Zone; {
-		case e.IsWarm(s.Tables):
-			return 0
-		case near:
-			return 1
+// ranked is the fleet by rendezvous hash, the same at every router.
+func (m *Module) ranked(tables decision.TableGroup) []*engine {
+	if m.rankings[tables] == nil {
+		rank := map[*engine]uint64{}
+		for _, e := range m.fleet {
+			rank[e] = draw.Rank(string(e.Engine), uint64(tables))
 		}
-		return 2
+		m.rankings[tables] = slices.SortedFunc(slices.Values(m.fleet), func(a, b *engine) int {
+			return cmp.Compare(rank[b], rank[a])
+		})
 	}
+	return m.rankings[tables]
+}
+
+// candidates takes K engines: warm ones first, then nearer zones, each by rendezvous hash.
+// A load takes the hash backwards: it would hold its table group where that is read.
+func (m *Module) candidates(s *statement, ready []*engine) []*engine {
+	warm := 0
 	for _, e := range ready {
-		if tier(e) == 0 {
+		if e.IsWarm(s.Tables) {
 			warm++
 		}
 	}
-	ranked := slices.Clone(ready)
-	slices.SortStableFunc(ranked, func(a, b *engine) int {
-		byRank := cmp.Compare(b.Rank(s.Tables), a.Rank(s.Tables))
-		if s.Workload.Load {
-			return -byRank
+	k := min(max(1, warm, int(m.counts[s.Tables]/fanOutStep)+1), fanOutMost, len(ready))
+	picked := m.picked[:0]
+	if s.Workload.Load {
+		for i := range k {
+			picked = append(picked, ready[len(ready)-1-i])
 		}
-		return cmp.Or(cmp.Compare(tier(a), tier(b)), byRank)
-	})
-	k := max(1, warm, int(m.counts[s.Tables]/fanOutStep)+1)
-	return ranked[:min(k, fanOutMost, len(ranked))]
+	}
+	for tier := 0; len(picked) < k; tier++ {
+		for _, e := range ready {
+			if len(picked) < k && m.tier(e, s) == tier {
+				picked = append(picked, e)
+			}
+		}
+	}
+	m.picked = picked
+	return picked
+}
+
+func (m *Module) tier(e *engine, s *statement) int {
+	switch {
+	case e.IsWarm(s.Tables):
+		return 0
+	case e.Zone == m.me.Zone:
+		return 1
+	}
+	return 2
 }
 
 // congested: full for this router, or reported busy.
@@ -556,7 +587,7 @@
 			e.Windows = m.firstWindows(e)
 			m.engines[entry.Engine] = e
 			m.fleet = append(m.fleet, e)
-			slices.SortFunc(m.fleet, func(a, b *engine) int { return cmp.Compare(a.Engine, b.Engine) })
+			clear(m.rankings)
 		} else if entry.StartedAt > e.StartedAt { // started anew: it holds nothing warm
 			e.Warm, e.Left, e.Lost, e.Backoff = nil, false, false, 0
 			e.Windows = m.firstWindows(e)
@@ -566,6 +597,7 @@
 		}
 		e.Entry, e.Listed = entry, entry.State != decision.Gone
 	}
+	slices.SortFunc(m.fleet, func(a, b *engine) int { return cmp.Compare(a.Engine, b.Engine) })
 }
 
 // usable: not left; a left engine takes one statement as a trial after a while, idempotent if it can be.
@@ -677,6 +709,9 @@
 	x.Ended = true
 	s.Open--
 	m.gate.settle(m.now, s, ev.Outcome)
+	if s.Key != "" { // what waits for its turn may go when the key has rested
+		m.due.At(m.now+m.gate.rules.KeyRest, func() { m.stirred = true })
+	}
 	switch ev.Outcome {
 	case decision.Completed, decision.Errored:
 		m.back(e)
@@ -766,25 +801,31 @@
 		}
 		return 0
 	}
-	slices.SortStableFunc(m.held, func(a, b *statement) int {
-		return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(start(a), start(b)))
-	})
-	looked := 0
-	m.held = slices.DeleteFunc(m.held, func(s *statement) bool {
-		if s.Open == 0 && (m.now > s.End-s.Run/2 || s.Workload.LateShare == 0 && m.now > (s.SLODue+start(s))/2) {
+	if m.stirred { // else only what has just come is looked at
+		m.tried, m.stirred = 0, false
+		slices.SortStableFunc(m.held, func(a, b *statement) int {
+			return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(start(a), start(b)))
+		})
+	}
+	looked := make([]int, len(m.workloads))
+	left := slices.DeleteFunc(m.held[m.tried:], func(s *statement) bool {
+		w := s.Workload
+		if s.Open == 0 && (m.now > s.End-s.Run/2 || w.LateShare == 0 && m.now > (s.SLODue+start(s))/2) {
 			m.giveUp(s) // no answer in time, or none that still counts
 		}
-		if s.Done || looked >= lookedMost || !m.gate.inTurn(m.now, s) {
+		if s.Done || looked[w.ID] >= lookedMost || !m.gate.inTurn(m.now, s) {
 			return s.Done
 		}
 		e := m.route(s)
 		if e == nil {
-			looked++
+			looked[w.ID]++
 			return false
 		}
 		m.send(s, e)
 		return true
 	})
+	m.tried += len(left)
+	m.held = m.held[:m.tried]
 }
 
 // ---- 6. Grants and priorities ----
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -94,7 +95,7 @@
 	t.Run("candidates", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a", "b", "c", "d"))
 		s := &statement{Workload: b.m.workloads[0], Tables: 7}
-		first := b.m.candidates(s, b.m.fleet)
+		first := slices.Clone(b.m.candidates(s, b.m.fleet))
 		require.Len(t, first, 1)
 		other := b.m.fleet[0]
 		if other == first[0] {
