--- a/internal/draw/draw.go
+++ b/internal/draw/draw.go
@@ -18,7 +18,7 @@
 }
 
 // Rank is the rendezvous weight of a name for a key.
-func Rank(name string, key uint64) uint64 { return sum([]byte(name), key) }
+func Rank(name string, key ...uint64) uint64 { return sum([]byte(name), key...) }
 
 func sum(name []byte, numbers ...uint64) uint64 {
 	h := fnv.New64a()
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -3,6 +3,7 @@
 package state
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -25,6 +26,38 @@
 	return w.SLO + time.Duration(w.SLOStretch*float64(run))
 }
 
+// Traffic counts statements by table group; every count decays at each statement of any group.
+type Traffic struct {
+	Decay  float64
+	total  float64
+	seq    int
+	groups map[decision.TableGroup]tally
+}
+
+type tally struct {
+	count float64
+	seq   int // when count was right
+}
+
+// Count adds a statement.
+func (t *Traffic) Count(g decision.TableGroup) {
+	if t.groups == nil {
+		t.groups = map[decision.TableGroup]tally{}
+	}
+	t.seq++
+	t.total = t.total*t.Decay + 1
+	t.groups[g] = tally{t.Of(g) + 1, t.seq}
+}
+
+// Total is the decayed count of all statements.
+func (t *Traffic) Total() float64 { return t.total }
+
+// Of is the decayed count of a table group's statements.
+func (t *Traffic) Of(g decision.TableGroup) float64 {
+	c := t.groups[g]
+	return c.count * math.Pow(t.Decay, float64(t.seq-c.seq))
+}
+
 // Share is a member group's share: a bucket filled at the share's rate.
 type Share struct {
 	PerSec, Tokens float64
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,8 +31,8 @@
 	nearWeight, farWeight = 8.0, 11.0 // zone weight
 	warmCost, coldCost    = 1.0, 2.0  // warmth cost
 	warmGroups            = 4         // table groups sent last that count as warm on an engine
-	fanOutStep            = 500       // decayed statements for one further candidate
-	fanOutDecay           = 0.999     // of a table group's count, at each of its statements
+	fanOutSlack           = 2.0       // candidates over a table group's even part of the engines
+	fanOutDecay           = 0.999     // of the table groups' counts, at each statement
 	fanOutMost            = 32
 	windowThreads         = 2.0  // ceiling of a window, in threads a core
 	busyUtil              = 0.65 // above it a candidate counts as congested
@@ -79,7 +79,7 @@
 	rankings  map[decision.TableGroup][]*engine   // the fleet by rendezvous hash
 	stmts     map[decision.StatementID]*statement // not over yet
 	held      []*statement
-	counts    map[decision.TableGroup]float64 // decayed count of statements
+	traffic   state.Traffic // decayed counts of statements, by table group
 	shares    map[decision.MemberGroup]*state.Share
 	gate      gate
 	due       due.Times
@@ -102,7 +102,7 @@
 func New(me decision.Identity, workloads []decision.Workload, traits decision.Engines,
 	shares decision.Shares, limits decision.Limits, rules decision.Rules, reports decision.Reports) *Module {
 	m := &Module{me: me, engines: map[decision.EngineID]*engine{}, stmts: map[decision.StatementID]*statement{},
-		rankings: map[decision.TableGroup][]*engine{}, counts: map[decision.TableGroup]float64{}, shares: map[decision.MemberGroup]*state.Share{},
+		rankings: map[decision.TableGroup][]*engine{}, traffic: state.Traffic{Decay: fanOutDecay}, shares: map[decision.MemberGroup]*state.Share{},
 		traits: traits, limits: limits, byProbe: reports.Path == decision.ReportsByProbe, period: inlinePeriod,
 		chance: draw.Source{Seed: me.Seed}}
 	if m.byProbe {
@@ -187,7 +187,7 @@
 	s.Run = seconds(work / float64(w.Threads))
 	s.SLODue = m.now + w.Allowance(s.Run)
 	m.stmts[s.ID] = s
-	m.counts[s.Tables] = m.counts[s.Tables]*fanOutDecay + 1
+	m.traffic.Count(s.Tables)
 	m.gate.took(m.now, s, ev.Key)
 	m.due.At(s.End-2*max(m.me.Tick, time.Millisecond), func() { m.giveUp(s) })
 	if m.held = append(m.held, s); m.limits.MaxOpen > 0 && len(m.stmts) >= m.limits.MaxOpen-1 {
@@ -216,11 +216,13 @@
 	if !slices.ContainsFunc(candidates, func(e *engine) bool { return !m.congested(e, s.Workload) }) {
 		candidates = ready
 	}
+	first := int(draw.Rank("", uint64(s.Tables), uint64(m.me.Router)) % uint64(len(candidates)))
 	// The lowest score takes it, a barred engine only when all are barred.
 	for _, barred := range []bool{false, true} {
 		var best *engine
 		lowest := math.Inf(1)
-		for _, e := range candidates {
+		for i := range candidates { // each router begins elsewhere, so that equals share
+			e := candidates[(i+first)%len(candidates)]
 			if e.Windows[s.Workload.ID].Barred != barred || !m.hasRoom(e, s) {
 				continue
 			}
@@ -272,7 +274,8 @@
 			warm++
 		}
 	}
-	k := min(max(1, warm, int(m.counts[s.Tables]/fanOutStep)+1), fanOutMost, len(ready))
+	step := (m.traffic.Total()/float64(len(ready)) + 1) / fanOutSlack
+	k := min(max(1, warm, int(m.traffic.Of(s.Tables)/step)+1), fanOutMost, len(ready))
 	picked := m.picked[:0]
 	if s.Workload.Load {
 		for i := range k {
