--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -90,7 +90,7 @@
 	LeftUntil, Backoff time.Duration
 	LastNews, Stepped  time.Duration
 	Probing            bool
-	ProbedAt           time.Duration
+	ProbedAt, Reported time.Duration // last probe, last report
 	ColdSent           span.Sum
 	LoadedUntil        map[decision.TableGroup]time.Duration // another router's load holds the group
 }
@@ -143,6 +143,8 @@
 	Open           int        // executions without an outcome
 	Home           *Execution // the first that may have run
 	Avoid          *Engine    // where it went wrong last
+	Asks           int        // probes for it since AskedAt
+	AskedAt        time.Duration
 	Terms          decision.SetTerms
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,10 +34,10 @@
 	fanOutSlack           = 2.0       // candidates over a table group's even part of the engines
 	fanOutDecay           = 0.999     // of the table groups' counts, at each statement
 	fanOutMost            = 32
-	windowThreads         = 2.0  // ceiling of a window, in threads a core
-	busyUtil              = 0.65 // above it a candidate counts as congested
-	overUtil              = 0.90 // above it a window is halved
-	probeEvery            = time.Second
+	windowThreads         = 2.0                    // ceiling of a window, in threads a core
+	busyUtil              = 0.65                   // above it a candidate counts as congested
+	overUtil              = 0.90                   // above it a window is halved
+	probeEvery            = time.Second            // how long a probe's report counts as fresh
 	inlinePeriod          = 500 * time.Millisecond // report period where answers bring reports
 
 	sweepEvery         = 50 * time.Millisecond
@@ -54,6 +54,9 @@
 	crowdMost          = 1.6                    // statements a core, all routers' and what time-outs left
 	waitsForLoad       = 2                      // in a note: what it waits for
 	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
+	askFirst, askMost  = 2, 4                   // probes for a statement's candidates, and for wider choice
+	askPatience        = 40 * time.Millisecond  // for their answers
+	leftLeast          = 0.05                   // of a window, however many others hold
 	paceStep           = 0.02                   // of a workload's pace, up or down at each answer
 	lookedMost         = 8                      // statements of a workload that find no room before a pass skips the rest
 	grantFirst         = 1.25
@@ -216,7 +219,12 @@
 	if !slices.ContainsFunc(candidates, func(e *engine) bool { return !m.congested(e, s.Workload) }) {
 		candidates = ready
 	}
-	first := int(draw.Rank("", uint64(s.Tables), uint64(m.me.Router)) % uint64(len(candidates)))
+	if m.byProbe && m.limits.MayProbe {
+		if candidates = m.asked(s, candidates, len(candidates) == len(ready)); len(candidates) == 0 {
+			return nil
+		}
+	}
+	first := m.offset(s, len(candidates))
 	// The lowest score takes it, a barred engine only when all are barred.
 	for _, barred := range []bool{false, true} {
 		var best *engine
@@ -248,7 +256,8 @@
 		warmth = warmCost
 	}
 	inFlight := float64(e.Threads) / float64(s.Workload.Threads)
-	return zone * (inFlight + 1) / e.Windows[s.Workload.ID].Size * warmth
+	left := max(leftLeast, 1-e.Others/(crowdMost*e.Cores)) // of the window, by what others hold there
+	return zone * (inFlight + 1) / (e.Windows[s.Workload.ID].Size * left) * warmth
 }
 
 // ranked is the fleet by rendezvous hash, the same at every router.
@@ -303,10 +312,60 @@
 	return 2
 }
 
+// asked keeps the engines with a fresh report, where reports come by probe alone. If none of these is
+// free of congestion it probes a few more, a statement's next choices; nil: wait for their answers.
+func (m *Module) asked(s *statement, engines []*engine, wide bool) []*engine {
+	var known []*engine
+	free, wait, most := false, false, askFirst
+	if wide {
+		most = askMost
+	}
+	if m.now >= s.AskedAt+probeEvery {
+		s.Asks = 0
+	}
+	for _, e := range engines {
+		if m.now < e.Reported+probeEvery {
+			known, free = append(known, e), free || !m.congested(e, s.Workload)
+		}
+	}
+	first := m.offset(s, len(engines))
+	for i := 0; !free && i < len(engines); i++ {
+		switch e := engines[(i+first)%len(engines)]; {
+		case m.now < e.Reported+probeEvery:
+		case e.Probing:
+			wait = wait || m.now < e.ProbedAt+askPatience
+		case s.Asks < most:
+			if s.Asks == 0 {
+				s.AskedAt = m.now
+			}
+			s.Asks, wait = s.Asks+1, true
+			m.probe(e)
+		}
+	}
+	switch {
+	case wait:
+		return nil
+	case len(known) == 0:
+		return engines
+	}
+	return known
+}
+
+// offset is where this router begins in a row of equals, so that routers share them.
+func (m *Module) offset(s *statement, n int) int {
+	return int(draw.Rank("", uint64(s.Tables), uint64(m.me.Router)) % uint64(n))
+}
+
+func (m *Module) probe(e *engine) {
+	e.Probing, e.ProbedAt = true, m.now
+	m.do(decision.Probe{Engine: e.Engine})
+}
+
 // congested: full for this router, or reported busy.
 func (m *Module) congested(e *engine, w *workload) bool {
 	win := &e.Windows[w.ID]
-	return float64(win.InFlight) >= win.Size || win.Barred || e.UtilKnown && e.Util > busyUtil
+	return float64(win.InFlight) >= win.Size || win.Barred || e.UtilKnown && e.Util > busyUtil ||
+		e.Others+float64(len(e.Execs)) >= busyUtil*crowdMost*e.Cores || m.byProbe && e.Queue >= 1
 }
 
 func (m *Module) send(s *statement, e *engine) {
@@ -332,6 +391,7 @@
 	if r == nil {
 		return
 	}
+	e.Reported = m.now
 	known := r.Known[decision.FieldUtilisation]
 	if known {
 		e.Util, e.UtilKnown = r.Value[decision.FieldUtilisation], true
@@ -558,9 +618,8 @@
 			continue
 		}
 		m.watch(e)
-		if m.limits.MayProbe && !e.Probing && (m.byProbe || e.Left) && m.now >= e.ProbedAt+probeEvery {
-			e.Probing, e.ProbedAt = true, m.now
-			m.do(decision.Probe{Engine: e.Engine})
+		if m.limits.MayProbe && !e.Probing && e.Lost && m.now >= max(e.LeftUntil, e.ProbedAt+probeEvery) {
+			m.probe(e)
 		}
 		if m.now >= e.Stepped+3*m.period { // reports are missing: own sights stand in
 			e.UtilKnown, e.Queue, e.Others = false, 0, 0
@@ -651,6 +710,8 @@
 	m.report(e, ev.Report)
 	if ev.Outcome == decision.NotConnected {
 		m.leave(e, true)
+	} else if ev.Outcome == decision.TimedOut { // too busy to answer a probe: as good as full
+		e.Reported, e.Others = m.now, crowdMost*e.Cores
 	} else if ev.Outcome == decision.Completed && e.Lost { // it tells of a process, not that work gets done
 		m.back(e)
 	}
