--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,7 +55,6 @@
 	waitsForLoad       = 2                      // in a note: what it waits for
 	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
 	askFirst, askMost  = 2, 4                   // probes for a statement's candidates, and for wider choice
-	askPatience        = 40 * time.Millisecond  // for their answers
 	leftLeast          = 0.05                   // of a window, however many others hold
 	paceStep           = 0.02                   // of a workload's pace, up or down at each answer
 	lookedMost         = 8                      // statements of a workload that find no room before a pass skips the rest
@@ -98,7 +97,9 @@
 	period    time.Duration // report period
 	chance    draw.Source
 	now       time.Duration
-	out       []decision.Action
+	actions   []decision.Action
+	open      int     // own executions without an outcome
+	cores     float64 // of the engines in use, cold ones at their least
 }
 
 // New opens an instance; each argument is one part's settings.
@@ -130,7 +131,7 @@
 
 // Handle takes what happened now, in order, and returns what to do, in order.
 func (m *Module) Handle(now time.Duration, events []decision.Event) []decision.Action {
-	m.now, m.out = now, nil
+	m.now, m.actions = now, nil
 	for _, event := range events {
 		switch ev := event.(type) {
 		case decision.EngineList:
@@ -169,10 +170,10 @@
 		m.armed = at
 		m.do(decision.SetTimer{Token: "due", At: at})
 	}
-	return m.out
+	return m.actions
 }
 
-func (m *Module) do(a decision.Action) { m.out = append(m.out, a) }
+func (m *Module) do(a decision.Action) { m.actions = append(m.actions, a) }
 
 // ---- The ordinary path: arrive, then (from dispatch) route and send ----
 
@@ -333,7 +334,7 @@
 		switch e := engines[(i+first)%len(engines)]; {
 		case m.now < e.Reported+probeEvery:
 		case e.Probing:
-			wait = wait || m.now < e.ProbedAt+askPatience
+			wait = true
 		case s.Asks < most:
 			if s.Asks == 0 {
 				s.AskedAt = m.now
@@ -342,11 +343,8 @@
 			m.probe(e)
 		}
 	}
-	switch {
-	case wait:
+	if wait {
 		return nil
-	case len(known) == 0:
-		return engines
 	}
 	return known
 }
@@ -376,7 +374,7 @@
 	}
 	e.Holds(x)
 	e.Touch(s.Tables, warmGroups)
-	s.Execs, s.Open = append(s.Execs, x), s.Open+1
+	s.Execs, s.Open, m.open = append(s.Execs, x), s.Open+1, m.open+1
 	s.Rehome()
 	m.setTerms(s)
 	m.do(decision.Execute{Statement: s.ID, Engine: e.Engine})
@@ -613,11 +611,19 @@
 
 // sweep is the periodic work: silent engines, probes, windows without reports.
 func (m *Module) sweep() {
+	m.cores = 0
 	for _, e := range m.fleet {
 		if !e.Listed || e.State != decision.Ready {
 			continue
 		}
 		m.watch(e)
+		switch {
+		case e.Left:
+		case m.gate.isCold(m.now, e):
+			m.cores += e.Cores * m.gate.rules.ColdShare
+		default:
+			m.cores += e.Cores
+		}
 		if m.limits.MayProbe && !e.Probing && e.Lost && m.now >= max(e.LeftUntil, e.ProbedAt+probeEvery) {
 			m.probe(e)
 		}
@@ -771,7 +777,7 @@
 	}
 	s, w := x.Stmt, &e.Windows[x.Stmt.Workload.ID]
 	x.Ended = true
-	s.Open--
+	s.Open, m.open = s.Open-1, m.open-1
 	m.gate.settle(m.now, s, ev.Outcome)
 	if s.Key != "" { // what waits for its turn may go when the key has rested
 		m.due.At(m.now+m.gate.rules.KeyRest, func() { m.stirred = true })
@@ -871,13 +877,15 @@
 			return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(start(a), start(b)))
 		})
 	}
+	part := crowdMost * m.cores / m.gate.routers // of all statements that the fleet may hold
+	part = max(1, part+math.Sqrt(part))          // with room for chance
 	looked := make([]int, len(m.workloads))
 	left := slices.DeleteFunc(m.held[m.tried:], func(s *statement) bool {
 		w := s.Workload
 		if s.Open == 0 && (m.now > s.End-s.Run/2 || w.LateShare == 0 && m.now > (s.SLODue+start(s))/2) {
 			m.giveUp(s) // no answer in time, or none that still counts
 		}
-		if s.Done || looked[w.ID] >= lookedMost || !m.gate.inTurn(m.now, s) {
+		if s.Done || float64(m.open) >= part || looked[w.ID] >= lookedMost || !m.gate.inTurn(m.now, s) {
 			return s.Done
 		}
 		e := m.route(s)
