--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,6 +51,7 @@
 	silentSLOs         = 0.6                    // SLO times without news, where there are no notes
 	badPlan            = 4.0                    // times the expected run that make an execution worth giving up
 	roomThreads        = 3.2                    // threads a core that all routers together keep on an engine
+	fleetThreads       = 2.4                    // the same over the whole fleet
 	crowdMost          = 1.6                    // statements a core, all routers' and what time-outs left
 	waitsForLoad       = 2                      // in a note: what it waits for
 	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
@@ -98,7 +99,9 @@
 	chance    draw.Source
 	now       time.Duration
 	actions   []decision.Action
-	open      int     // own executions without an outcome
+	threads   int     // of own executions without an outcome
+	memOut    float64 // their memory
+	memory    float64 // of the engines in use
 	cores     float64 // of the engines in use, cold ones at their least
 }
 
@@ -374,7 +377,8 @@
 	}
 	e.Holds(x)
 	e.Touch(s.Tables, warmGroups)
-	s.Execs, s.Open, m.open = append(s.Execs, x), s.Open+1, m.open+1
+	s.Execs, s.Open = append(s.Execs, x), s.Open+1
+	m.threads, m.memOut = m.threads+s.Workload.Threads, m.memOut+x.MemoryMB
 	s.Rehome()
 	m.setTerms(s)
 	m.do(decision.Execute{Statement: s.ID, Engine: e.Engine})
@@ -566,6 +570,15 @@
 	return e.StartedAt > 0 && now < e.StartedAt+g.rules.WarmAfter+coldMargin && g.rules.ColdWindow > 0
 }
 
+// warmth is the share of its capacity that an engine is held to have.
+func (g *gate) warmth(now time.Duration, e *engine) float64 {
+	if !g.isCold(now, e) {
+		return 1
+	}
+	cold := g.rules.ColdShare
+	return min(1, cold+(1-cold)*float64(now-e.StartedAt)/float64(max(1, g.rules.WarmAfter)))
+}
+
 func (g *gate) sent(now time.Duration, s *statement, e *engine) {
 	if len(s.Execs) > 0 && g.rules.FurtherWindow > 0 {
 		g.further.Add(now, 1)
@@ -611,18 +624,14 @@
 
 // sweep is the periodic work: silent engines, probes, windows without reports.
 func (m *Module) sweep() {
-	m.cores = 0
+	m.cores, m.memory = 0, 0
 	for _, e := range m.fleet {
 		if !e.Listed || e.State != decision.Ready {
 			continue
 		}
 		m.watch(e)
-		switch {
-		case e.Left:
-		case m.gate.isCold(m.now, e):
-			m.cores += e.Cores * m.gate.rules.ColdShare
-		default:
-			m.cores += e.Cores
+		if share := m.gate.warmth(m.now, e); !e.Left {
+			m.cores, m.memory = m.cores+share*e.Cores, m.memory+share*e.MemoryMB
 		}
 		if m.limits.MayProbe && !e.Probing && e.Lost && m.now >= max(e.LeftUntil, e.ProbedAt+probeEvery) {
 			m.probe(e)
@@ -777,7 +786,8 @@
 	}
 	s, w := x.Stmt, &e.Windows[x.Stmt.Workload.ID]
 	x.Ended = true
-	s.Open, m.open = s.Open-1, m.open-1
+	s.Open--
+	m.threads, m.memOut = m.threads-s.Workload.Threads, m.memOut-x.MemoryMB
 	m.gate.settle(m.now, s, ev.Outcome)
 	if s.Key != "" { // what waits for its turn may go when the key has rested
 		m.due.At(m.now+m.gate.rules.KeyRest, func() { m.stirred = true })
@@ -843,10 +853,7 @@
 // hasRoom: this router's part of an engine's threads and memory is not used up, and no load holds
 // the table group there for a statement that would stand still behind it.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
-	limit := roomThreads * e.Cores / math.Pow(m.gate.routers, 0.75)
-	if cold := m.gate.rules.ColdShare; m.gate.isCold(m.now, e) {
-		limit *= min(1, cold+(1-cold)*float64(m.now-e.StartedAt)/float64(max(1, m.gate.rules.WarmAfter)))
-	}
+	limit := roomThreads * e.Cores / math.Pow(m.gate.routers, 0.75) * m.gate.warmth(m.now, e)
 	if float64(e.Threads) >= limit || e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores ||
 		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.gate.routers {
 		return false
@@ -856,6 +863,17 @@
 		m.now >= e.LoadedUntil[s.Tables] && !slices.ContainsFunc(e.Execs, loaded)
 }
 
+// hasPart: this router's part of the whole fleet's threads and memory is not used up. Each engine's
+// part may be less than one statement; over the fleet it is some, and chance needs room beside it.
+func (m *Module) hasPart(s *statement) bool {
+	fits := func(out, all, size float64) bool {
+		part := all / m.gate.routers
+		return all <= 0 || out <= 0 || out+size <= part+math.Sqrt(part*size)
+	}
+	return fits(float64(m.threads), fleetThreads*m.cores, float64(s.Workload.Threads)) &&
+		fits(m.memOut, m.memory, m.need(s))
+}
+
 // dispatch sends what is held, most urgent first: by the latest start that meets the SLO time;
 // what is late comes after that, and what is beyond its share last.
 func (m *Module) dispatch() {
@@ -877,18 +895,19 @@
 			return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(start(a), start(b)))
 		})
 	}
-	part := crowdMost * m.cores / m.gate.routers // of all statements that the fleet may hold
-	part = max(1, part+math.Sqrt(part))          // with room for chance
 	looked := make([]int, len(m.workloads))
 	left := slices.DeleteFunc(m.held[m.tried:], func(s *statement) bool {
 		w := s.Workload
 		if s.Open == 0 && (m.now > s.End-s.Run/2 || w.LateShare == 0 && m.now > (s.SLODue+start(s))/2) {
 			m.giveUp(s) // no answer in time, or none that still counts
 		}
-		if s.Done || float64(m.open) >= part || looked[w.ID] >= lookedMost || !m.gate.inTurn(m.now, s) {
+		if s.Done || looked[w.ID] >= lookedMost || !m.gate.inTurn(m.now, s) {
 			return s.Done
 		}
-		e := m.route(s)
+		var e *engine
+		if m.hasPart(s) {
+			e = m.route(s)
+		}
 		if e == nil {
 			looked[w.ID]++
 			return false
