--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,6 +52,7 @@
 	badPlan            = 4.0                    // times the expected run that make an execution worth giving up
 	roomThreads        = 3.2                    // threads a core that all routers together keep on an engine
 	fleetThreads       = 2.4                    // the same over the whole fleet
+	mixDecay           = 0.995                  // a sweep, of what own statements out need on average
 	crowdMost          = 1.6                    // statements a core, all routers' and what time-outs left
 	waitsForLoad       = 2                      // in a note: what it waits for
 	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
@@ -75,34 +76,35 @@
 
 // Module is one instance. Instances share nothing.
 type Module struct {
-	me        decision.Identity
-	workloads []*workload
-	engines   map[decision.EngineID]*engine
-	fleet     []*engine                           // by id
-	rankings  map[decision.TableGroup][]*engine   // the fleet by rendezvous hash
-	stmts     map[decision.StatementID]*statement // not over yet
-	held      []*statement
-	traffic   state.Traffic // decayed counts of statements, by table group
-	shares    map[decision.MemberGroup]*state.Share
-	gate      gate
-	due       due.Times
-	ready     []*engine     // scratch of route
-	picked    []*engine     // scratch of candidates
-	tried     int           // held statements that found no room since the last stir
-	stirred   bool          // what is held may find room that it did not find before
-	armed     time.Duration // when the one timer comes, 0: not set
-	swept     time.Duration // last sweep
-	traits    decision.Engines
-	limits    decision.Limits
-	byProbe   bool          // reports come by probe alone
-	period    time.Duration // report period
-	chance    draw.Source
-	now       time.Duration
-	actions   []decision.Action
-	threads   int     // of own executions without an outcome
-	memOut    float64 // their memory
-	memory    float64 // of the engines in use
-	cores     float64 // of the engines in use, cold ones at their least
+	me                     decision.Identity
+	workloads              []*workload
+	engines                map[decision.EngineID]*engine
+	fleet                  []*engine                           // by id
+	rankings               map[decision.TableGroup][]*engine   // the fleet by rendezvous hash
+	stmts                  map[decision.StatementID]*statement // not over yet
+	held                   []*statement
+	traffic                state.Traffic // decayed counts of statements, by table group
+	shares                 map[decision.MemberGroup]*state.Share
+	gate                   gate
+	due                    due.Times
+	ready                  []*engine     // scratch of route
+	picked                 []*engine     // scratch of candidates
+	tried                  int           // held statements that found no room since the last stir
+	stirred                bool          // what is held may find room that it did not find before
+	armed                  time.Duration // when the one timer comes, 0: not set
+	swept                  time.Duration // last sweep
+	traits                 decision.Engines
+	limits                 decision.Limits
+	byProbe                bool          // reports come by probe alone
+	period                 time.Duration // report period
+	chance                 draw.Source
+	now                    time.Duration
+	actions                []decision.Action
+	threads                int     // of own executions without an outcome
+	memOut                 float64 // their memory
+	memory                 float64 // of the engines in use
+	open, openMem, meanMem float64 // decayed executions out, their memory, memory of one
+	cores                  float64 // of the engines in use, cold ones at their least
 }
 
 // New opens an instance; each argument is one part's settings.
@@ -625,11 +627,14 @@
 // sweep is the periodic work: silent engines, probes, windows without reports.
 func (m *Module) sweep() {
 	m.cores, m.memory = 0, 0
+	m.open, m.openMem = m.open*mixDecay, m.openMem*mixDecay+m.memOut
+	defer func() { m.meanMem = m.openMem / max(1, m.open) }()
 	for _, e := range m.fleet {
 		if !e.Listed || e.State != decision.Ready {
 			continue
 		}
 		m.watch(e)
+		m.open += float64(len(e.Execs))
 		if share := m.gate.warmth(m.now, e); !e.Left {
 			m.cores, m.memory = m.cores+share*e.Cores, m.memory+share*e.MemoryMB
 		}
@@ -858,6 +863,10 @@
 		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.gate.routers {
 		return false
 	}
+	// What others hold there is held to need what own statements need on average.
+	if others := e.Others * m.meanMem; e.MemoryMB > 0 && others > 0 && others+e.MemOut+m.need(s) > e.MemoryMB {
+		return false
+	}
 	loaded := func(x *execution) bool { return x.Stmt.Workload.Load && x.Stmt.Tables == s.Tables }
 	return !s.Workload.WaitsForLoads && !s.Workload.Load ||
 		m.now >= e.LoadedUntil[s.Tables] && !slices.ContainsFunc(e.Execs, loaded)
