--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,7 +31,7 @@
 	nearWeight, farWeight = 8.0, 11.0 // zone weight
 	warmCost, coldCost    = 1.0, 2.0  // warmth cost
 	warmGroups            = 4         // table groups sent last that count as warm on an engine
-	fanOutSlack           = 2.0       // candidates over a table group's even part of the engines
+	fanOutSlack           = 4.0       // candidates over a table group's even part of the engines
 	fanOutDecay           = 0.999     // of the table groups' counts, at each statement
 	fanOutMost            = 32
 	windowThreads         = 2.0                    // ceiling of a window, in threads a core
@@ -368,7 +368,7 @@
 func (m *Module) congested(e *engine, w *workload) bool {
 	win := &e.Windows[w.ID]
 	return float64(win.InFlight) >= win.Size || win.Barred || e.UtilKnown && e.Util > busyUtil ||
-		e.Others+float64(len(e.Execs)) >= busyUtil*crowdMost*e.Cores || m.byProbe && e.Queue >= 1
+		e.Others+float64(len(e.Execs)) >= busyUtil*e.Cores || m.byProbe && e.Queue >= 1
 }
 
 func (m *Module) send(s *statement, e *engine) {
