--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -19,6 +19,9 @@
 	Known bool    // Work comes from an estimate
 	Grant float64 // learned memory needed over memory estimated
 	Pace  float64 // learned time taken over expected run
+
+	ThreadsOut int     // of own executions without an outcome
+	MemOut     float64 // their memory
 }
 
 // Allowance is the SLO time with its stretch, for a statement of this expected run.
@@ -109,8 +112,9 @@
 // Holds adds an execution to what the engine holds.
 func (e *Engine) Holds(x *Execution) {
 	e.Execs = append(e.Execs, x)
-	e.Threads += x.Stmt.Workload.Threads
-	e.MemOut += x.MemoryMB
+	w := x.Stmt.Workload
+	e.Threads, w.ThreadsOut = e.Threads+w.Threads, w.ThreadsOut+w.Threads
+	e.MemOut, w.MemOut = e.MemOut+x.MemoryMB, w.MemOut+x.MemoryMB
 	e.Windows[x.Stmt.Workload.ID].InFlight++
 }
 
@@ -122,8 +126,9 @@
 	}
 	x := e.Execs[i]
 	e.Execs = slices.Delete(e.Execs, i, i+1)
-	e.Threads -= x.Stmt.Workload.Threads
-	e.MemOut -= x.MemoryMB
+	w := x.Stmt.Workload
+	e.Threads, w.ThreadsOut = e.Threads-w.Threads, w.ThreadsOut-w.Threads
+	e.MemOut, w.MemOut = e.MemOut-x.MemoryMB, w.MemOut-x.MemoryMB
 	e.Windows[x.Stmt.Workload.ID].InFlight--
 	return x
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,7 +51,8 @@
 	silentSLOs         = 0.6                    // SLO times without news, where there are no notes
 	badPlan            = 4.0                    // times the expected run that make an execution worth giving up
 	roomThreads        = 3.2                    // threads a core that all routers together keep on an engine
-	fleetThreads       = 2.4                    // the same over the whole fleet
+	fleetThreads       = 2.0                    // the same over the whole fleet
+	partSpan           = 4 * time.Second        // over which a router keeps its part of the fleet on average
 	mixDecay           = 0.995                  // a sweep, of what own statements out need on average
 	crowdMost          = 1.6                    // statements a core, all routers' and what time-outs left
 	waitsForLoad       = 2                      // in a note: what it waits for
@@ -100,8 +101,7 @@
 	chance                 draw.Source
 	now                    time.Duration
 	actions                []decision.Action
-	threads                int     // of own executions without an outcome
-	memOut                 float64 // their memory
+	credit                 float64 // seconds for which a whole part more may be used
 	memory                 float64 // of the engines in use
 	open, openMem, meanMem float64 // decayed executions out, their memory, memory of one
 	cores                  float64 // of the engines in use, cold ones at their least
@@ -380,7 +380,6 @@
 	e.Holds(x)
 	e.Touch(s.Tables, warmGroups)
 	s.Execs, s.Open = append(s.Execs, x), s.Open+1
-	m.threads, m.memOut = m.threads+s.Workload.Threads, m.memOut+x.MemoryMB
 	s.Rehome()
 	m.setTerms(s)
 	m.do(decision.Execute{Statement: s.ID, Engine: e.Engine})
@@ -627,14 +626,19 @@
 // sweep is the periodic work: silent engines, probes, windows without reports.
 func (m *Module) sweep() {
 	m.cores, m.memory = 0, 0
-	m.open, m.openMem = m.open*mixDecay, m.openMem*mixDecay+m.memOut
-	defer func() { m.meanMem = m.openMem / max(1, m.open) }()
+	m.open, m.openMem = m.open*mixDecay, m.openMem*mixDecay
+	defer func() {
+		m.meanMem = m.openMem / max(1, m.open)
+		span := partSpan.Seconds()
+		m.credit += (1 - m.partUsed(math.Inf(1))) * sweepEvery.Seconds()
+		m.credit = min(max(m.credit, -span), span)
+	}()
 	for _, e := range m.fleet {
 		if !e.Listed || e.State != decision.Ready {
 			continue
 		}
 		m.watch(e)
-		m.open += float64(len(e.Execs))
+		m.open, m.openMem = m.open+float64(len(e.Execs)), m.openMem+e.MemOut
 		if share := m.gate.warmth(m.now, e); !e.Left {
 			m.cores, m.memory = m.cores+share*e.Cores, m.memory+share*e.MemoryMB
 		}
@@ -792,7 +796,6 @@
 	s, w := x.Stmt, &e.Windows[x.Stmt.Workload.ID]
 	x.Ended = true
 	s.Open--
-	m.threads, m.memOut = m.threads-s.Workload.Threads, m.memOut-x.MemoryMB
 	m.gate.settle(m.now, s, ev.Outcome)
 	if s.Key != "" { // what waits for its turn may go when the key has rested
 		m.due.At(m.now+m.gate.rules.KeyRest, func() { m.stirred = true })
@@ -872,15 +875,31 @@
 		m.now >= e.LoadedUntil[s.Tables] && !slices.ContainsFunc(e.Execs, loaded)
 }
 
-// hasPart: this router's part of the whole fleet's threads and memory is not used up. Each engine's
-// part may be less than one statement; over the fleet it is some, and chance needs room beside it.
+// hasPart: this router's part of the whole fleet's threads and memory is not used up. Each engine's part
+// may be less than one statement; over the fleet it is some, kept on average over partSpan, since few
+// statements vary much. What is heavier does not hold up what is lighter.
 func (m *Module) hasPart(s *statement) bool {
-	fits := func(out, all, size float64) bool {
-		part := all / m.gate.routers
-		return all <= 0 || out <= 0 || out+size <= part+math.Sqrt(part*size)
+	return m.credit > 0 || m.partUsed(s.Workload.Work)+m.parts(float64(s.Workload.Threads), m.need(s)) <= 1
+}
+
+// partUsed is the share of this router's part that workloads up to a mean work use.
+func (m *Module) partUsed(work float64) float64 {
+	threads, mem := 0.0, 0.0
+	for _, w := range m.workloads {
+		if w.Work <= work {
+			threads, mem = threads+float64(w.ThreadsOut), mem+w.MemOut
+		}
+	}
+	return m.parts(threads, mem)
+}
+
+// parts is the larger of two needs as a share of this router's part of the fleet.
+func (m *Module) parts(threads, mem float64) float64 {
+	used := threads * m.gate.routers / max(1, fleetThreads*m.cores)
+	if m.memory > 0 {
+		used = max(used, mem*m.gate.routers/m.memory)
 	}
-	return fits(float64(m.threads), fleetThreads*m.cores, float64(s.Workload.Threads)) &&
-		fits(m.memOut, m.memory, m.need(s))
+	return used
 }
 
 // dispatch sends what is held, most urgent first: by the latest start that meets the SLO time;
