Cold engines warmed by few routers in whole statements; room for chance in shares; windows grow on sight

Cause: a cold budget cut among 231 routers was 0.03 s of work each; a share bucket under one token marked every statement; windows grew by time alone.

--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -3,11 +3,13 @@
 package state
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 
 	"bankledge/decision"
+	"bankledge/internal/draw"
 	"bankledge/internal/span"
 )
 
@@ -61,10 +63,71 @@
 	return c.count * math.Pow(t.Decay, float64(t.seq-c.seq))
 }
 
-// Share is a member group's share: a bucket filled at the share's rate.
+// Share is a member group's part of the service: a bucket filled at the share's rate.
 type Share struct {
-	PerSec, Tokens float64
-	At             time.Duration
+	PerSec, Most, Tokens float64
+	At                   time.Duration
+}
+
+// Take takes a token, or tells that there is none.
+func (s *Share) Take(now time.Duration) bool {
+	s.Tokens = min(s.Most, s.Tokens+s.PerSec*(now-s.At).Seconds())
+	s.At = now
+	if s.Tokens < 1 {
+		return false
+	}
+	s.Tokens--
+	return true
+}
+
+// Mean is a decayed mean.
+type Mean struct{ Decay, sum, weight float64 }
+
+// Add adds the sum of so many values.
+func (m *Mean) Add(sum, count float64) { m.sum, m.weight = m.sum+sum, m.weight+count }
+
+// Fade lets what was added so far count less.
+func (m *Mean) Fade() { m.sum, m.weight = m.sum*m.Decay, m.weight*m.Decay }
+
+// Value is the mean, 0 where little was added.
+func (m *Mean) Value() float64 { return m.sum / max(1, m.weight) }
+
+// Fleet holds all engines ever listed, by id, and their order by rendezvous hash.
+type Fleet struct {
+	All      []*Engine
+	byID     map[decision.EngineID]*Engine
+	rankings map[decision.TableGroup][]*Engine
+}
+
+// Of returns the engine of an id, or nil.
+func (f *Fleet) Of(id decision.EngineID) *Engine { return f.byID[id] }
+
+// Add adds an engine.
+func (f *Fleet) Add(e *Engine) *Engine {
+	if f.byID == nil {
+		f.byID = map[decision.EngineID]*Engine{}
+	}
+	f.byID[e.Engine] = e
+	i, _ := slices.BinarySearchFunc(f.All, e, func(a, b *Engine) int { return cmp.Compare(a.Engine, b.Engine) })
+	f.All = slices.Insert(f.All, i, e)
+	f.rankings = map[decision.TableGroup][]*Engine{}
+	return e
+}
+
+// Ranked is the fleet by rendezvous hash for a table group, the same at every router.
+func (f *Fleet) Ranked(tables decision.TableGroup) []*Engine {
+	ranked, ok := f.rankings[tables]
+	if !ok && len(f.All) > 0 {
+		rank := map[*Engine]uint64{}
+		for _, e := range f.All {
+			rank[e] = draw.Rank(string(e.Engine), uint64(tables))
+		}
+		ranked = slices.SortedFunc(slices.Values(f.All), func(a, b *Engine) int {
+			return cmp.Compare(rank[b], rank[a])
+		})
+		f.rankings[tables] = ranked
+	}
+	return ranked
 }
 
 // Window is the AIMD window of one engine and workload.
@@ -95,9 +158,19 @@
 	Probing            bool
 	ProbedAt, Reported time.Duration // last probe, last report
 	ColdSent           span.Sum
+	place              int // of this router, for the start at placedAt
+	placedAt           time.Duration
 	LoadedUntil        map[decision.TableGroup]time.Duration // another router's load holds the group
 }
 
+// Place is a router's place among so many for this start of the engine.
+func (e *Engine) Place(router, routers int) int {
+	if e.placedAt != e.StartedAt {
+		e.placedAt, e.place = e.StartedAt, draw.Place(string(e.Engine), uint64(e.StartedAt), router, routers)
+	}
+	return e.place
+}
+
 // IsWarm tells whether the table group is among those sent there lately.
 func (e *Engine) IsWarm(tables decision.TableGroup) bool { return slices.Contains(e.Warm, tables) }
 
@@ -177,3 +250,32 @@
 	Open      int // executions without an outcome of statements that are over
 	RestUntil time.Duration
 }
+
+// KeyLines holds the lines by key.
+type KeyLines map[decision.Key]*KeyLine
+
+// Join puts a statement at the end of its key's line.
+func (k KeyLines) Join(s *Statement) {
+	if k[s.Key] == nil {
+		k[s.Key] = &KeyLine{}
+	}
+	k[s.Key].Line = append(k[s.Key].Line, s)
+}
+
+// Leave takes a statement that is over out of its line; its open executions still bar it.
+func (k KeyLines) Leave(s *Statement) {
+	if l := k[s.Key]; l != nil {
+		l.Line = slices.DeleteFunc(l.Line, func(o *Statement) bool { return o == s })
+		l.Open += s.Open
+	}
+}
+
+// Settle hears that an execution of the statement is no longer open, and until when the key rests.
+func (k KeyLines) Settle(s *Statement, rest time.Duration) {
+	if l := k[s.Key]; l != nil {
+		l.RestUntil = max(l.RestUntil, rest)
+		if s.Done {
+			l.Open--
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,6 +48,7 @@
 	backoffFirst       = 500 * time.Millisecond // before a left engine is tried again
 	backoffMost        = 8 * time.Second
 	noteSlack          = 100 * time.Millisecond // for a note to arrive
+	silentPaces        = 4.0                    // times the usual run, which must have passed too
 	silentSLOs         = 0.6                    // SLO times without news, where there are no notes
 	badPlan            = 4.0                    // times the expected run that make an execution worth giving up
 	roomThreads        = 3.2                    // threads a core that all routers together keep on an engine
@@ -60,6 +61,8 @@
 	askFirst, askMost  = 2, 4                   // probes for a statement's candidates, and for wider choice
 	leftLeast          = 0.05                   // of a window, however many others hold
 	paceStep           = 0.02                   // of a workload's pace, up or down at each answer
+	unseenStep         = 0.25                   // of a window at a step of which nothing was seen
+	chanceRoom         = 3.0                    // of a share, in times its square root
 	lookedMost         = 8                      // statements of a workload that find no room before a pass skips the rest
 	grantFirst         = 1.25
 	grantMost          = 3.0
@@ -77,56 +80,53 @@
 
 // Module is one instance. Instances share nothing.
 type Module struct {
-	me                     decision.Identity
-	workloads              []*workload
-	engines                map[decision.EngineID]*engine
-	fleet                  []*engine                           // by id
-	rankings               map[decision.TableGroup][]*engine   // the fleet by rendezvous hash
-	stmts                  map[decision.StatementID]*statement // not over yet
-	held                   []*statement
-	traffic                state.Traffic // decayed counts of statements, by table group
-	shares                 map[decision.MemberGroup]*state.Share
-	gate                   gate
-	due                    due.Times
-	ready                  []*engine     // scratch of route
-	picked                 []*engine     // scratch of candidates
-	tried                  int           // held statements that found no room since the last stir
-	stirred                bool          // what is held may find room that it did not find before
-	armed                  time.Duration // when the one timer comes, 0: not set
-	swept                  time.Duration // last sweep
-	traits                 decision.Engines
-	limits                 decision.Limits
-	byProbe                bool          // reports come by probe alone
-	period                 time.Duration // report period
-	chance                 draw.Source
-	now                    time.Duration
-	actions                []decision.Action
-	credit                 float64 // seconds for which a whole part more may be used
-	memory                 float64 // of the engines in use
-	open, openMem, meanMem float64 // decayed executions out, their memory, memory of one
-	cores                  float64 // of the engines in use, cold ones at their least
+	me        decision.Identity
+	workloads []*workload
+	fleet     state.Fleet
+	stmts     map[decision.StatementID]*statement // not over yet
+	held      []*statement
+	traffic   state.Traffic // decayed counts of statements, by table group
+	shares    map[decision.MemberGroup]*state.Share
+	gate      gate
+	due       due.Times
+	armed     time.Duration // when the one timer comes, 0: not set
+	swept     time.Duration // last sweep
+	traits    decision.Engines
+	limits    decision.Limits
+	byProbe   bool          // reports come by probe alone
+	period    time.Duration // report period
+	chance    draw.Source
+	now       time.Duration
+	actions   []decision.Action
+	cores     float64    // of the engines in use, cold ones at what they can do
+	memory    float64    // of the same
+	credit    float64    // seconds for which twice the router's part of the fleet may be used
+	meanMem   state.Mean // memory of an own execution that is out
+	stirred   bool       // what is held may find room that it did not find before
+	tried     int        // held statements that found no room since the last stir
 }
 
 // New opens an instance; each argument is one part's settings.
 func New(me decision.Identity, workloads []decision.Workload, traits decision.Engines,
 	shares decision.Shares, limits decision.Limits, rules decision.Rules, reports decision.Reports) *Module {
-	m := &Module{me: me, engines: map[decision.EngineID]*engine{}, stmts: map[decision.StatementID]*statement{},
-		rankings: map[decision.TableGroup][]*engine{}, traffic: state.Traffic{Decay: fanOutDecay}, shares: map[decision.MemberGroup]*state.Share{},
-		traits: traits, limits: limits, byProbe: reports.Path == decision.ReportsByProbe, period: inlinePeriod,
-		chance: draw.Source{Seed: me.Seed}}
+	m := &Module{me: me, stmts: map[decision.StatementID]*statement{}, traffic: state.Traffic{Decay: fanOutDecay},
+		shares: map[decision.MemberGroup]*state.Share{}, traits: traits, limits: limits, period: inlinePeriod,
+		byProbe: reports.Path == decision.ReportsByProbe && limits.MayProbe,
+		chance:  draw.Source{Seed: me.Seed}, meanMem: state.Mean{Decay: mixDecay}}
 	if m.byProbe {
 		m.period = probeEvery
 	}
-	m.gate = gate{rules: rules, routers: float64(max(1, me.Routers)), copies: limits.SecondCopies,
-		most: limits.MaxExecutions, keys: map[decision.Key]*state.KeyLine{}}
+	m.gate = gate{rules: rules, routers: max(1, me.Routers), me: me.Router, copies: limits.SecondCopies,
+		most: limits.MaxExecutions, keys: state.KeyLines{}, opened: -1}
 	for i, w := range workloads {
 		w.Threads = max(1, w.Threads)
 		m.workloads = append(m.workloads, &workload{Workload: w, ID: decision.WorkloadID(i), Grant: grantFirst,
 			Pace: 1, Work: w.SLO.Seconds() / 4 * float64(w.Threads)})
 	}
 	for _, g := range shares.Groups {
-		rate := g.PerSec / m.gate.routers
-		m.shares[g.Group] = &state.Share{PerSec: rate, Tokens: rate}
+		rate := g.PerSec / float64(m.gate.routers)
+		most := rate + chanceRoom*math.Sqrt(rate) + 1 // few statements a second vary much
+		m.shares[g.Group] = &state.Share{PerSec: rate, Most: most, Tokens: most}
 	}
 	if limits.ListOnRequest {
 		m.due.At(0, func() { m.do(decision.FollowList{On: true}) })
@@ -136,38 +136,38 @@
 
 // Handle takes what happened now, in order, and returns what to do, in order.
 func (m *Module) Handle(now time.Duration, events []decision.Event) []decision.Action {
-	m.now, m.actions = now, nil
+	if m.now, m.actions = now, nil; m.gate.opened < 0 {
+		m.gate.opened = now
+	}
 	for _, event := range events {
 		switch ev := event.(type) {
-		case decision.EngineList:
-			m.list(ev)
-			m.stirred = true
 		case decision.StatementArrived:
 			m.arrive(ev)
+			continue
+		case decision.TimerFired:
+			m.armed = 0
+			continue
+		case decision.EngineList:
+			m.list(ev)
 		case decision.AnswerStarted:
 			if s := m.stmts[ev.Statement]; s != nil {
 				s.Streamed = true
 			}
 		case decision.ExecutionNoted:
 			m.noted(ev)
-			m.stirred = true
 		case decision.ExecutionEnded:
 			m.ended(ev)
-			m.stirred = true
 		case decision.ClientLeft:
 			if s := m.stmts[ev.Statement]; s != nil {
 				m.finish(s)
 			}
 		case decision.ProbeEnded:
 			m.probed(ev)
-			m.stirred = true
-		case decision.TimerFired:
-			m.armed = 0
 		}
+		m.stirred = true
 	}
 	m.due.Run(now)
 	if now >= m.swept+sweepEvery {
-		m.swept, m.stirred = now, true
 		m.sweep()
 	}
 	m.dispatch()
@@ -207,13 +207,12 @@
 // route picks the engine for a statement's next execution, or nil to hold it.
 func (m *Module) route(s *statement) *engine {
 	// The rules first, then health: no other engine is looked at.
-	ready := m.ready[:0]
-	for _, e := range m.ranked(s.Tables) {
+	var ready []*engine
+	for _, e := range m.fleet.Ranked(s.Tables) {
 		if m.gate.allows(m.now, s, e) && m.usable(e, s) {
 			ready = append(ready, e)
 		}
 	}
-	m.ready = ready
 	if len(ready) > 1 { // not again where it just went wrong, if there is another
 		ready = slices.DeleteFunc(ready, func(e *engine) bool { return e == s.Avoid })
 	}
@@ -225,7 +224,7 @@
 	if !slices.ContainsFunc(candidates, func(e *engine) bool { return !m.congested(e, s.Workload) }) {
 		candidates = ready
 	}
-	if m.byProbe && m.limits.MayProbe {
+	if m.byProbe {
 		if candidates = m.asked(s, candidates, len(candidates) == len(ready)); len(candidates) == 0 {
 			return nil
 		}
@@ -266,56 +265,28 @@
 	return zone * (inFlight + 1) / (e.Windows[s.Workload.ID].Size * left) * warmth
 }
 
-// ranked is the fleet by rendezvous hash, the same at every router.
-func (m *Module) ranked(tables decision.TableGroup) []*engine {
-	if m.rankings[tables] == nil {
-		rank := map[*engine]uint64{}
-		for _, e := range m.fleet {
-			rank[e] = draw.Rank(string(e.Engine), uint64(tables))
-		}
-		m.rankings[tables] = slices.SortedFunc(slices.Values(m.fleet), func(a, b *engine) int {
-			return cmp.Compare(rank[b], rank[a])
-		})
-	}
-	return m.rankings[tables]
-}
-
 // candidates takes K engines: warm ones first, then nearer zones, each by rendezvous hash.
 // A load takes the hash backwards: it would hold its table group where that is read.
 func (m *Module) candidates(s *statement, ready []*engine) []*engine {
-	warm := 0
+	var tiers [3][]*engine // warm, near, far
 	for _, e := range ready {
-		if e.IsWarm(s.Tables) {
-			warm++
+		switch {
+		case s.Workload.Load:
+			tiers[2] = append(tiers[2], e)
+		case e.IsWarm(s.Tables):
+			tiers[0] = append(tiers[0], e)
+		case e.Zone == m.me.Zone:
+			tiers[1] = append(tiers[1], e)
+		default:
+			tiers[2] = append(tiers[2], e)
 		}
 	}
-	step := (m.traffic.Total()/float64(len(ready)) + 1) / fanOutSlack
-	k := min(max(1, warm, int(m.traffic.Of(s.Tables)/step)+1), fanOutMost, len(ready))
-	picked := m.picked[:0]
 	if s.Workload.Load {
-		for i := range k {
-			picked = append(picked, ready[len(ready)-1-i])
-		}
-	}
-	for tier := 0; len(picked) < k; tier++ {
-		for _, e := range ready {
-			if len(picked) < k && m.tier(e, s) == tier {
-				picked = append(picked, e)
-			}
-		}
-	}
-	m.picked = picked
-	return picked
-}
-
-func (m *Module) tier(e *engine, s *statement) int {
-	switch {
-	case e.IsWarm(s.Tables):
-		return 0
-	case e.Zone == m.me.Zone:
-		return 1
+		slices.Reverse(tiers[2])
 	}
-	return 2
+	step := (m.traffic.Total()/float64(len(ready)) + 1) / fanOutSlack
+	k := max(1, len(tiers[0]), int(m.traffic.Of(s.Tables)/step)+1)
+	return slices.Concat(tiers[:]...)[:min(k, fanOutMost, len(ready))]
 }
 
 // asked keeps the engines with a fresh report, where reports come by probe alone. If none of these is
@@ -420,6 +391,8 @@
 		case w.Refusals > 0: // halved at the refusal
 		case e.Queue >= 1 || utilKnown && e.Util > overUtil || !utilKnown && w.Late*2 > w.Done:
 			m.halve(w)
+		case !utilKnown && w.Done == 0: // nothing seen of it: a little, for what may have passed
+			w.Size = min(w.Size+unseenStep, ceiling(e, m.workloads[i]))
 		case w.Size < w.Threshold:
 			w.Size = min(w.Size*2, ceiling(e, m.workloads[i]))
 		default:
@@ -450,7 +423,7 @@
 	windows := make([]window, len(m.workloads))
 	for i, w := range m.workloads {
 		sum, n := 0.0, 0.0
-		for _, o := range m.fleet {
+		for _, o := range m.fleet.All {
 			if o != e && o.Listed && o.State == decision.Ready && o.Kind == e.Kind {
 				sum, n = sum+o.Windows[i].Size, n+1
 			}
@@ -467,12 +440,15 @@
 
 type gate struct {
 	rules   decision.Rules
-	routers float64
+	routers int
+	me      decision.RouterID
 	copies  bool // two executions of a statement may be out at once
 	most    int  // executions of a statement
-	keys    map[decision.Key]*state.KeyLine
-	taken   span.Sum // statements
-	further span.Sum // executions beyond each statement's first
+	keys    state.KeyLines
+	taken   span.Sum      // statements
+	further span.Sum      // executions beyond each statement's first
+	opened  time.Duration // when this instance started
+	heavy   float64       // largest mean work of a workload
 }
 
 // allows tells whether the rules let this statement go to this engine now.
@@ -515,11 +491,8 @@
 	g.taken.Add(now, 1)
 	g.taken.Over(now - g.rules.FurtherWindow)
 	if s.Workload.InOrder && key != "" {
-		if g.keys[key] == nil {
-			g.keys[key] = &state.KeyLine{}
-		}
 		s.Key = key
-		g.keys[key].Line = append(g.keys[key].Line, s)
+		g.keys.Join(s)
 	}
 }
 
@@ -537,34 +510,29 @@
 	return s.Key == "" || k.Line[0] == s && (len(s.Execs) > 0 || k.Open == 0 && now >= k.RestUntil)
 }
 
-// leave takes a statement that is over out of its key's line; its open executions still bar it.
-func (g *gate) leave(s *statement) {
-	if k := g.keys[s.Key]; k != nil {
-		k.Line = slices.DeleteFunc(k.Line, func(o *statement) bool { return o == s })
-		k.Open += s.Open
-	}
-}
-
 // settle hears of an outcome; after some of them the execution may still run, and the key rests.
 func (g *gate) settle(now time.Duration, s *statement, o decision.Outcome) {
-	k := g.keys[s.Key]
-	if k == nil {
-		return
-	}
-	if s.Done {
-		k.Open--
-	}
+	rest := now
 	if o == decision.TimedOut || o == decision.Reset || o == decision.Cancelled {
-		k.RestUntil = max(k.RestUntil, now+g.rules.KeyRest)
+		rest += g.rules.KeyRest
 	}
+	g.keys.Settle(s, rest)
 }
 
-// coldLeft: all routers together may send a cold engine only so much work in any window. This
-// router keeps to its part, judged at the capacity that a cold engine has at the very least.
+// coldLeft: all routers together may send a cold engine only so much work in any window, judged at the
+// capacity that a cold engine has at the very least. Cut among hundreds of routers that is less than a
+// statement each, so the rendezvous hash, which all can work out alone, names the few that may warm it.
+// A router that has just started does not know what it sent before, and waits for a window.
 func (g *gate) coldLeft(now time.Duration, s *statement, e *engine) bool {
 	r := g.rules
-	return !g.isCold(now, e) || e.ColdSent.Over(now-r.ColdWindow-coldMargin)+s.Workload.Work <=
-		coldSafety*r.ColdMultiple*r.ColdShare*capacityShare*e.Cores*r.ColdWindow.Seconds()/g.routers
+	if !g.isCold(now, e) {
+		return true
+	}
+	all := coldSafety * r.ColdMultiple * r.ColdShare * capacityShare * e.Cores * r.ColdWindow.Seconds()
+	few := min(g.routers, max(1, int(all/max(g.heavy, s.Workload.Work))))
+	sent := e.ColdSent.Over(now - r.ColdWindow - coldMargin)
+	return sent+s.Workload.Work <= all/float64(few) && now >= g.opened+r.ColdWindow &&
+		e.Place(int(g.me), g.routers) < few
 }
 
 func (g *gate) isCold(now time.Duration, e *engine) bool {
@@ -608,7 +576,7 @@
 
 // finish forgets a statement that is over and calls off what still runs for it.
 func (m *Module) finish(s *statement) {
-	m.gate.leave(s)
+	m.gate.keys.Leave(s)
 	s.Done = true
 	delete(m.stmts, s.ID)
 	for _, x := range s.Execs {
@@ -623,26 +591,16 @@
 	}
 }
 
-// sweep is the periodic work: silent engines, probes, windows without reports.
+// sweep is the periodic work: silent engines, lost ones, windows without reports, the router's part.
 func (m *Module) sweep() {
-	m.cores, m.memory = 0, 0
-	m.open, m.openMem = m.open*mixDecay, m.openMem*mixDecay
-	defer func() {
-		m.meanMem = m.openMem / max(1, m.open)
-		span := partSpan.Seconds()
-		m.credit += (1 - m.partUsed(math.Inf(1))) * sweepEvery.Seconds()
-		m.credit = min(max(m.credit, -span), span)
-	}()
-	for _, e := range m.fleet {
+	m.swept, m.stirred = m.now, true
+	for _, e := range m.fleet.All {
 		if !e.Listed || e.State != decision.Ready {
 			continue
 		}
 		m.watch(e)
-		m.open, m.openMem = m.open+float64(len(e.Execs)), m.openMem+e.MemOut
-		if share := m.gate.warmth(m.now, e); !e.Left {
-			m.cores, m.memory = m.cores+share*e.Cores, m.memory+share*e.MemoryMB
-		}
-		if m.limits.MayProbe && !e.Probing && e.Lost && m.now >= max(e.LeftUntil, e.ProbedAt+probeEvery) {
+		m.meanMem.Add(e.MemOut, float64(len(e.Execs)))
+		if m.limits.MayProbe && e.Lost && !e.Probing && m.now >= max(e.LeftUntil, e.ProbedAt+probeEvery) {
 			m.probe(e)
 		}
 		if m.now >= e.Stepped+3*m.period { // reports are missing: own sights stand in
@@ -650,6 +608,23 @@
 			m.step(e, false)
 		}
 	}
+	m.meanMem.Fade()
+	m.measure()
+	m.credit += (1 - m.partUsed(math.Inf(1))) * sweepEvery.Seconds()
+	m.credit = min(max(m.credit, -partSpan.Seconds()), partSpan.Seconds())
+}
+
+// measure sums what the engines in use can do.
+func (m *Module) measure() {
+	m.cores, m.memory, m.gate.heavy = 0, 0, 0
+	for _, e := range m.fleet.All {
+		if share := m.gate.warmth(m.now, e); e.Listed && e.State == decision.Ready && !e.Left {
+			m.cores, m.memory = m.cores+share*e.Cores, m.memory+share*e.MemoryMB
+		}
+	}
+	for _, w := range m.workloads {
+		m.gate.heavy = max(m.gate.heavy, w.Work)
+	}
 }
 
 // ---- 3. Engine health ----
@@ -660,22 +635,19 @@
 		m.due.At(m.now+seconds(1+m.chance.Float()), func() { m.do(decision.FollowList{On: true}) })
 	}
 	if ev.Kind == decision.ListComplete || ev.Kind == decision.ListPersisted {
-		for _, e := range m.fleet {
+		for _, e := range m.fleet.All {
 			e.Listed = false
 		}
 	}
 	for _, entry := range ev.Entries {
-		e := m.engines[entry.Engine]
+		e := m.fleet.Of(entry.Engine)
 		if e == nil {
 			machine := m.traits.Machines[entry.Kind]
-			e = &engine{Entry: entry, Cores: max(1, machine.Cores), MemoryMB: machine.MemoryMB,
-				Stepped: m.now, LastNews: m.now, LoadedUntil: map[decision.TableGroup]time.Duration{}}
+			e = m.fleet.Add(&engine{Entry: entry, Cores: max(1, machine.Cores), MemoryMB: machine.MemoryMB,
+				Stepped: m.now, LastNews: m.now, LoadedUntil: map[decision.TableGroup]time.Duration{}})
 			e.Windows = m.firstWindows(e)
-			m.engines[entry.Engine] = e
-			m.fleet = append(m.fleet, e)
-			clear(m.rankings)
 		} else if entry.StartedAt > e.StartedAt { // started anew: it holds nothing warm
-			e.Warm, e.Left, e.Lost, e.Backoff = nil, false, false, 0
+			e.Warm, e.Left, e.Lost, e.Backoff, e.Others = nil, false, false, 0, 0
 			e.Windows = m.firstWindows(e)
 			for _, x := range e.Execs {
 				e.Windows[x.Stmt.Workload.ID].InFlight++
@@ -683,7 +655,7 @@
 		}
 		e.Entry, e.Listed = entry, entry.State != decision.Gone
 	}
-	slices.SortFunc(m.fleet, func(a, b *engine) int { return cmp.Compare(a.Engine, b.Engine) })
+	m.measure()
 }
 
 // usable: not left; a left engine takes one statement as a trial after a while, idempotent if it can be.
@@ -714,7 +686,8 @@
 // notes a silence tells little: statements may stand still behind another router's load.
 func (m *Module) watch(e *engine) {
 	for _, x := range e.Execs {
-		patience := time.Duration(silentSLOs * float64(x.Stmt.Workload.Allowance(x.Stmt.Run)))
+		patience := max(time.Duration(silentSLOs*float64(x.Stmt.Workload.Allowance(x.Stmt.Run))),
+			time.Duration(silentPaces*x.Stmt.Workload.Pace*float64(x.Stmt.Run)))
 		if m.traits.ProgressEvery > 0 {
 			patience = 2*m.traits.ProgressEvery + noteSlack
 		}
@@ -726,7 +699,7 @@
 }
 
 func (m *Module) probed(ev decision.ProbeEnded) {
-	e := m.engines[ev.Engine]
+	e := m.fleet.Of(ev.Engine)
 	if e == nil {
 		return
 	}
@@ -745,7 +718,7 @@
 
 // noted takes news of a running execution: a spill for want of grant, or a bad plan.
 func (m *Module) noted(ev decision.ExecutionNoted) {
-	if e := m.engines[ev.Engine]; e != nil {
+	if e := m.fleet.Of(ev.Engine); e != nil {
 		m.back(e)
 	}
 	s := m.stmts[ev.Statement]
@@ -755,7 +728,7 @@
 	x := s.Execs[ev.Execution]
 	switch ev.Note {
 	case decision.NoteSpills: // with memory left there, estimates are too low
-		if !x.Spilled && x.Engine.MemOut <= x.Engine.MemoryMB/m.gate.routers {
+		if !x.Spilled && x.Engine.MemOut <= x.Engine.MemoryMB/float64(m.gate.routers) {
 			s.Workload.Grant = min(grantMost, s.Workload.Grant*(1+grantUp))
 		}
 		x.Spilled = true
@@ -786,7 +759,7 @@
 
 // ended takes the one outcome of an execution.
 func (m *Module) ended(ev decision.ExecutionEnded) {
-	e, x := m.engines[ev.Engine], (*execution)(nil)
+	e, x := m.fleet.Of(ev.Engine), (*execution)(nil)
 	if e != nil {
 		x = e.Release(ev.Statement, ev.Execution)
 	}
@@ -846,28 +819,20 @@
 // overShare counts a statement against its member group's share, this router's part of it.
 func (m *Module) overShare(g decision.MemberGroup) bool {
 	sh := m.shares[g]
-	if sh == nil || sh.PerSec <= 0 {
-		return false
-	}
-	sh.Tokens = min(sh.PerSec, sh.Tokens+sh.PerSec*(m.now-sh.At).Seconds())
-	sh.At = m.now
-	if sh.Tokens < 1 {
-		return true
-	}
-	sh.Tokens--
-	return false
+	return sh != nil && sh.PerSec > 0 && !sh.Take(m.now)
 }
 
 // hasRoom: this router's part of an engine's threads and memory is not used up, and no load holds
 // the table group there for a statement that would stand still behind it.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
-	limit := roomThreads * e.Cores / math.Pow(m.gate.routers, 0.75) * m.gate.warmth(m.now, e)
+	routers := float64(m.gate.routers)
+	limit := roomThreads * e.Cores / math.Pow(routers, 0.75) * m.gate.warmth(m.now, e)
 	if float64(e.Threads) >= limit || e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores ||
-		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.gate.routers {
+		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/routers {
 		return false
 	}
 	// What others hold there is held to need what own statements need on average.
-	if others := e.Others * m.meanMem; e.MemoryMB > 0 && others > 0 && others+e.MemOut+m.need(s) > e.MemoryMB {
+	if others := e.Others * m.meanMem.Value(); e.MemoryMB > 0 && others > 0 && others+e.MemOut+m.need(s) > e.MemoryMB {
 		return false
 	}
 	loaded := func(x *execution) bool { return x.Stmt.Workload.Load && x.Stmt.Tables == s.Tables }
@@ -895,9 +860,9 @@
 
 // parts is the larger of two needs as a share of this router's part of the fleet.
 func (m *Module) parts(threads, mem float64) float64 {
-	used := threads * m.gate.routers / max(1, fleetThreads*m.cores)
+	used := threads * float64(m.gate.routers) / max(1, fleetThreads*m.cores)
 	if m.memory > 0 {
-		used = max(used, mem*m.gate.routers/m.memory)
+		used = max(used, mem*float64(m.gate.routers)/m.memory)
 	}
 	return used
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -43,16 +43,16 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newBed(t).at(0, ready("a"))
-			w := &b.m.engines["a"].Windows[0]
+			w := &b.m.fleet.Of("a").Windows[0]
 			w.Size, w.Threshold, w.Late, w.Done = c.size, c.threshold, c.late, c.done
 			b.m.now = time.Second
-			b.m.report(b.m.engines["a"], c.report)
+			b.m.report(b.m.fleet.Of("a"), c.report)
 			assert.Equal(t, c.want, w.Size)
 		})
 	}
 	t.Run("a refusal halves once a period and bars for one", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a", "b"))
-		w := &b.m.engines["a"].Windows[0]
+		w := &b.m.fleet.Of("a").Windows[0]
 		w.Size, b.m.now = 8, time.Second
 		b.m.refused(w)
 		b.m.refused(w)
@@ -63,15 +63,15 @@
 	})
 	t.Run("a new engine starts at the mean of its kind", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a", "b"))
-		b.m.engines["a"].Windows[0].Size, b.m.engines["b"].Windows[0].Size = 6, 10
+		b.m.fleet.Of("a").Windows[0].Size, b.m.fleet.Of("b").Windows[0].Size = 6, 10
 		b.at(time.Second, ready("a", "b", "c"))
-		assert.Equal(t, 8.0, b.m.engines["c"].Windows[0].Size)
+		assert.Equal(t, 8.0, b.m.fleet.Of("c").Windows[0].Size)
 	})
 }
 
 func TestScoreAndCandidates(t *testing.T) {
 	b := newBed(t).at(0, ready("a"))
-	e, s := b.m.engines["a"], &statement{Workload: b.m.workloads[0], Tables: 7}
+	e, s := b.m.fleet.Of("a"), &statement{Workload: b.m.workloads[0], Tables: 7}
 	for _, c := range []struct {
 		name    string
 		zone    decision.Zone
@@ -96,25 +96,25 @@
 	t.Run("candidates", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a", "b", "c", "d"))
 		s := &statement{Workload: b.m.workloads[0], Tables: 7}
-		first := slices.Clone(b.m.candidates(s, b.m.fleet))
+		first := slices.Clone(b.m.candidates(s, b.m.fleet.All))
 		require.Len(t, first, 1)
-		other := b.m.fleet[0]
+		other := b.m.fleet.All[0]
 		if other == first[0] {
-			other = b.m.fleet[1]
+			other = b.m.fleet.All[1]
 		}
 		other.Touch(7, warmGroups)
-		assert.Equal(t, []*engine{other}, b.m.candidates(s, b.m.fleet), "a warm engine comes first")
+		assert.Equal(t, []*engine{other}, b.m.candidates(s, b.m.fleet.All), "a warm engine comes first")
 		b.m.traffic.Count(7)
-		assert.Equal(t, []*engine{other, first[0]}, b.m.candidates(s, b.m.fleet)[:2], "traffic widens the row")
+		assert.Equal(t, []*engine{other, first[0]}, b.m.candidates(s, b.m.fleet.All)[:2], "traffic widens the row")
 		load := &statement{Workload: b.m.workloads[1], Tables: 7}
 		b.m.traffic = state.Traffic{}
-		assert.NotEqual(t, first, b.m.candidates(load, b.m.fleet), "a load stays off where its tables are read")
+		assert.NotEqual(t, first, b.m.candidates(load, b.m.fleet.All), "a load stays off where its tables are read")
 	})
 	t.Run("a barred engine takes it only when all are barred", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a", "b"))
-		b.m.engines["a"].Windows[0].Barred = true
+		b.m.fleet.Of("a").Windows[0].Barred = true
 		assert.EqualValues(t, "b", b.at(1, read("s1")).sentTo())
-		b.m.engines["b"].Windows[0].Barred = true
+		b.m.fleet.Of("b").Windows[0].Barred = true
 		assert.NotEmpty(t, b.at(2, read("s2")).sentTo())
 	})
 }
@@ -230,7 +230,7 @@
 			b := newBed(t).at(0, ready("a"), read("s"))
 			b.at(ms, end("s", 0, "a", c.outcome))
 			b.at(2*time.Second, decision.ProbeEnded{Engine: "a", Outcome: decision.Completed})
-			assert.Equal(t, c.cold, b.m.gate.isCold(2*time.Second, b.m.engines["a"]))
+			assert.Equal(t, c.cold, b.m.gate.isCold(2*time.Second, b.m.fleet.Of("a")))
 		})
 	}
 }
@@ -282,7 +282,7 @@
 	for taken = 1; taken <= 8; taken++ {
 		id := decision.StatementID(fmt.Sprint(taken))
 		handle(read(id))
-		for _, e := range b.m.fleet { // every first execution errs, wherever it went
+		for _, e := range b.m.fleet.All { // every first execution errs, wherever it went
 			handle(end(id, 0, e.Engine, decision.Errored))
 		}
 	}
@@ -376,14 +376,14 @@
 		b.wlms[0].SLO = time.Second
 		e := b.at(0, ready("a"), read("s")).sentTo()
 		b.at(2 * time.Second)
-		require.True(t, b.m.engines[e].Left)
+		require.True(t, b.m.fleet.Of(e).Left)
 		b.at(2*time.Second+ms, end("s", 0, e, decision.Cancelled))
 		b.at(2*time.Second+2*ms, decision.ProbeEnded{Engine: e, Outcome: decision.Completed})
-		assert.True(t, b.m.engines[e].Left)
+		assert.True(t, b.m.fleet.Of(e).Left)
 		assert.NotEmpty(t, b.at(4*time.Second, read("trial")).sentTo(), "one trial")
 		assert.Empty(t, b.at(4*time.Second+ms, read("more")).sentTo(), "and no more")
 		b.at(4*time.Second+2*ms, end("trial", 0, e, decision.Completed))
-		assert.False(t, b.m.engines[e].Left)
+		assert.False(t, b.m.fleet.Of(e).Left)
 	})
 	t.Run("starts are judged by the workload's pace", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a"))
@@ -411,8 +411,8 @@
 		assert.NotEqual(t, e, b.at(501*ms, read("s2")).sentTo(), "the group it waits for")
 		other := read("s3")
 		other.Tables = 9
-		b.m.engines["a"].Touch(9, warmGroups)
-		b.m.engines["b"].Touch(9, warmGroups)
+		b.m.fleet.Of("a").Touch(9, warmGroups)
+		b.m.fleet.Of("b").Touch(9, warmGroups)
 		b.at(502*ms, end("s", 0, e, decision.Cancelled))
 		assert.Equal(t, e, b.at(503*ms, other).sentTo(), "another group")
 	})
@@ -444,9 +444,9 @@
 	t.Run("a reset beside work that is alive is no reason to leave", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a"), read("s"), read("s2"))
 		b.at(ms, end("s", 0, "a", decision.Reset))
-		assert.False(t, b.m.engines["a"].Left)
+		assert.False(t, b.m.fleet.Of("a").Left)
 		b.at(2*ms, end("s", 1, "a", decision.Reset), end("s2", 0, "a", decision.Reset))
-		assert.True(t, b.m.engines["a"].Left)
+		assert.True(t, b.m.fleet.Of("a").Left)
 	})
 	t.Run("an engine crowded by others or by what time-outs left takes nothing", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a"))
