--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,7 +52,6 @@
 	silentSLOs         = 0.6                    // SLO times without news, where there are no notes
 	badPlan            = 4.0                    // times the expected run that make an execution worth giving up
 	roomThreads        = 3.2                    // threads a core that all routers together keep on an engine
-	fleetThreads       = 2.0                    // the same over the whole fleet
 	partSpan           = 4 * time.Second        // over which a router keeps its part of the fleet on average
 	mixDecay           = 0.995                  // a sweep, of what own statements out need on average
 	crowdMost          = 1.6                    // statements a core, all routers' and what time-outs left
@@ -860,7 +859,7 @@
 
 // parts is the larger of two needs as a share of this router's part of the fleet.
 func (m *Module) parts(threads, mem float64) float64 {
-	used := threads * float64(m.gate.routers) / max(1, fleetThreads*m.cores)
+	used := threads * float64(m.gate.routers) / max(1, roomThreads*m.cores)
 	if m.memory > 0 {
 		used = max(used, mem*float64(m.gate.routers)/m.memory)
 	}
