--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,6 +53,8 @@
 	badPlan            = 4.0                    // times the expected run that make an execution worth giving up
 	roomThreads        = 3.2                    // threads a core that all routers together keep on an engine
 	partSpan           = 4 * time.Second        // over which a router keeps its part of the fleet on average
+	crowdLearn         = 0.1                    // of each report, into the share that tells of full engines
+	crowdWeight        = 2.0                    // that share at which the fleet's part is least, inverted
 	mixDecay           = 0.995                  // a sweep, of what own statements out need on average
 	crowdMost          = 1.6                    // statements a core, all routers' and what time-outs left
 	waitsForLoad       = 2                      // in a note: what it waits for
@@ -100,6 +102,7 @@
 	cores     float64    // of the engines in use, cold ones at what they can do
 	memory    float64    // of the same
 	credit    float64    // seconds for which twice the router's part of the fleet may be used
+	crowded   float64    // share of late reports that told of a full engine
 	meanMem   state.Mean // memory of an own execution that is out
 	stirred   bool       // what is held may find room that it did not find before
 	tried     int        // held statements that found no room since the last stir
@@ -375,6 +378,11 @@
 	if r.Known[decision.FieldInFlight] {
 		e.Others = max(0, r.Value[decision.FieldInFlight]-float64(len(e.Execs)))
 	}
+	over := 0.0
+	if e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores || e.Queue >= 1 {
+		over = 1
+	}
+	m.crowded += crowdLearn * (over - m.crowded)
 	if m.now >= e.Stepped+m.period {
 		m.step(e, known)
 	}
@@ -617,7 +625,7 @@
 func (m *Module) measure() {
 	m.cores, m.memory, m.gate.heavy = 0, 0, 0
 	for _, e := range m.fleet.All {
-		if share := m.gate.warmth(m.now, e); e.Listed && e.State == decision.Ready && !e.Left {
+		if share := m.gate.warmth(m.now, e); e.Listed && e.State == decision.Ready && !e.Lost && (!e.Left || m.now >= e.LeftUntil) {
 			m.cores, m.memory = m.cores+share*e.Cores, m.memory+share*e.MemoryMB
 		}
 	}
@@ -859,7 +867,8 @@
 
 // parts is the larger of two needs as a share of this router's part of the fleet.
 func (m *Module) parts(threads, mem float64) float64 {
-	used := threads * float64(m.gate.routers) / max(1, roomThreads*m.cores)
+	room := roomThreads - (roomThreads-windowThreads)*min(1, crowdWeight*m.crowded)
+	used := threads * float64(m.gate.routers) / max(1, room*m.cores)
 	if m.memory > 0 {
 		used = max(used, mem*float64(m.gate.routers)/m.memory)
 	}
