--- a/policy/policy.go
+++ b/policy/policy.go
@@ -890,10 +890,13 @@
 		}
 		return 0
 	}
+	density := func(s *statement) float64 {
+		return s.Workload.Importance / (s.Run.Seconds() * float64(s.Workload.Threads))
+	}
 	if m.stirred { // else only what has just come is looked at
 		m.tried, m.stirred = 0, false
 		slices.SortStableFunc(m.held, func(a, b *statement) int {
-			return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(start(a), start(b)))
+			return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(density(b), density(a)))
 		})
 	}
 	looked := make([]int, len(m.workloads))
