--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,7 +48,7 @@
 	backoffFirst       = 500 * time.Millisecond // before a left engine is tried again
 	backoffMost        = 8 * time.Second
 	noteSlack          = 100 * time.Millisecond // for a note to arrive
-	silentPaces        = 4.0                    // times the usual run, which must have passed too
+	silentPaces        = 10.0                   // times the usual run, which must have passed too
 	silentSLOs         = 0.6                    // SLO times without news, where there are no notes
 	badPlan            = 4.0                    // times the expected run that make an execution worth giving up
 	roomThreads        = 3.2                    // threads a core that all routers together keep on an engine
