--- a/policy/policy.go
+++ b/policy/policy.go
@@ -392,12 +392,6 @@
 // doubles them below the slow-start threshold and adds one above it.
 func (m *Module) step(e *engine, utilKnown bool) {
 	e.Stepped = m.now
-	for _, x := range e.Execs { // what is late already need not end to tell so
-		if m.late(x) {
-			w := &e.Windows[x.Stmt.Workload.ID]
-			w.Late, w.Done = w.Late+1, w.Done+1
-		}
-	}
 	for i := range e.Windows {
 		w := &e.Windows[i]
 		switch {
@@ -416,10 +410,6 @@
 	}
 }
 
-func (m *Module) late(x *execution) bool {
-	return m.now-x.Sent > x.Stmt.Workload.Allowance(x.Stmt.Run)/2
-}
-
 func (m *Module) halve(w *window) {
 	if w.Halved == 0 || m.now >= w.Halved+m.period {
 		w.Halved, w.Size = m.now, max(1, w.Size/2)
@@ -794,7 +784,7 @@
 	case decision.Completed, decision.Errored:
 		m.back(e)
 		w.Done++
-		if m.late(x) {
+		if m.now-x.Sent > s.Workload.Allowance(s.Run)/2 {
 			w.Late++
 		}
 		if pace := &s.Workload.Pace; float64(m.now-x.Sent) > *pace*float64(s.Run) { // tracks the median
