--- a/policy/policy.go
+++ b/policy/policy.go
@@ -890,9 +890,6 @@
 		}
 		return 0
 	}
-	density := func(s *statement) float64 {
-		return s.Workload.Importance / (s.Run.Seconds() * float64(s.Workload.Threads))
-	}
 	if m.stirred { // else only what has just come is looked at
 		m.tried, m.stirred = 0, false
 		slices.SortStableFunc(m.held, func(a, b *statement) int {
@@ -933,7 +930,7 @@
 	return s.MemoryMB * s.Workload.Grant
 }
 
-// setTerms names the grant, and the highest priority for workloads light for their importance.
+// setTerms names the grant, and the highest priority for what is light for its importance.
 // None gets the lowest: what starves keeps its memory and its threads.
 func (m *Module) setTerms(s *statement) {
 	t := decision.SetTerms{Statement: s.ID, Priority: 1}
@@ -944,7 +941,7 @@
 	for _, w := range m.workloads {
 		best = max(best, w.Importance/w.Work)
 	}
-	if m.traits.Priorities && s.Workload.Importance/s.Workload.Work > best/2 {
+	if m.traits.Priorities && density(s) > best/2 {
 		t.Priority = 3
 	}
 	if t != s.Terms && (t.GrantMB > 0 || t.Priority != 1) {
@@ -953,4 +950,9 @@
 	}
 }
 
+// density is a statement's importance for its work.
+func density(s *statement) float64 {
+	return s.Workload.Importance / max(0.001, s.Run.Seconds()*float64(s.Workload.Threads))
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
