--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -114,6 +114,20 @@
 	return e
 }
 
+// MeanWindow is the mean window of the other ready engines of an engine's kind, or otherwise if there is none.
+func (f *Fleet) MeanWindow(e *Engine, workload int, otherwise float64) float64 {
+	sum, n := 0.0, 0.0
+	for _, o := range f.All {
+		if o != e && o.Listed && o.State == decision.Ready && o.Kind == e.Kind {
+			sum, n = sum+o.Windows[workload].Size, n+1
+		}
+	}
+	if n == 0 {
+		return otherwise
+	}
+	return sum / n
+}
+
 // Ranked is the fleet by rendezvous hash for a table group, the same at every router.
 func (f *Fleet) Ranked(tables decision.TableGroup) []*Engine {
 	ranked, ok := f.rankings[tables]
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,9 +60,9 @@
 	waitsForLoad       = 2                      // in a note: what it waits for
 	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
 	askFirst, askMost  = 2, 4                   // probes for a statement's candidates, and for wider choice
+	barredCost         = 1e6                    // of a barred engine, in its score
 	leftLeast          = 0.05                   // of a window, however many others hold
 	paceStep           = 0.02                   // of a workload's pace, up or down at each answer
-	unseenStep         = 0.25                   // of a window at a step of which nothing was seen
 	chanceRoom         = 3.0                    // of a share, in times its square root
 	lookedMost         = 8                      // statements of a workload that find no room before a pass skips the rest
 	grantFirst         = 1.25
@@ -104,6 +104,8 @@
 	credit    float64    // seconds for which twice the router's part of the fleet may be used
 	crowded   float64    // share of late reports that told of a full engine
 	meanMem   state.Mean // memory of an own execution that is out
+	lightest  float64    // highest importance for its work of a workload
+	relisted  bool       // the list has changed
 	stirred   bool       // what is held may find room that it did not find before
 	tried     int        // held statements that found no room since the last stir
 }
@@ -169,7 +171,7 @@
 		m.stirred = true
 	}
 	m.due.Run(now)
-	if now >= m.swept+sweepEvery {
+	if now >= m.swept+sweepEvery || m.relisted {
 		m.sweep()
 	}
 	m.dispatch()
@@ -185,9 +187,9 @@
 // ---- The ordinary path: arrive, then (from dispatch) route and send ----
 
 func (m *Module) arrive(ev decision.StatementArrived) {
-	w := m.workloads[ev.Workload]
+	w, sh := m.workloads[ev.Workload], m.shares[ev.Group] // what is beyond a member group's share waits
 	s := &statement{ID: ev.Statement, Workload: w, Tables: ev.Tables, MemoryMB: ev.NeedMB,
-		End: m.now + ev.TimeBudget, OverShare: m.overShare(ev.Group)}
+		End: m.now + ev.TimeBudget, OverShare: sh != nil && sh.PerSec > 0 && !sh.Take(m.now)}
 	work := w.Work
 	if ev.Estimate > 0 {
 		if work = ev.Estimate.Seconds(); !w.Known {
@@ -222,49 +224,44 @@
 		return nil
 	}
 	// Candidates: warm engines, then nearer zones, by rendezvous hash; all when these are congested.
-	candidates := m.candidates(s, ready)
+	candidates, most := m.candidates(s, ready), askFirst
 	if !slices.ContainsFunc(candidates, func(e *engine) bool { return !m.congested(e, s.Workload) }) {
-		candidates = ready
+		candidates, most = ready, askMost
 	}
 	if m.byProbe {
-		if candidates = m.asked(s, candidates, len(candidates) == len(ready)); len(candidates) == 0 {
+		if candidates = m.asked(s, candidates, most); len(candidates) == 0 {
 			return nil
 		}
 	}
-	first := m.offset(s, len(candidates))
-	// The lowest score takes it, a barred engine only when all are barred.
-	for _, barred := range []bool{false, true} {
-		var best *engine
-		lowest := math.Inf(1)
-		for i := range candidates { // each router begins elsewhere, so that equals share
-			e := candidates[(i+first)%len(candidates)]
-			if e.Windows[s.Workload.ID].Barred != barred || !m.hasRoom(e, s) {
-				continue
-			}
-			if score := m.score(e, s); score < lowest {
-				best, lowest = e, score
-			}
-		}
-		if best != nil {
-			return best
+	// The lowest score takes it; each router begins elsewhere, so that routers share what is equal.
+	var best *engine
+	lowest, first := math.Inf(1), m.offset(s, len(candidates))
+	for i := range candidates {
+		e := candidates[(i+first)%len(candidates)]
+		if score := m.score(e, s); score < lowest && m.hasRoom(e, s) {
+			best, lowest = e, score
 		}
 	}
-	return nil
+	return best
 }
 
-// score is zone weight × (own in flight + 1) ÷ window × warmth cost. In flight counts the threads
-// of all workloads there, in units of this workload's, since they share the engine's cores.
+// score is zone weight × (own in flight + 1) ÷ window × warmth cost. In flight counts the threads of all
+// workloads there, in units of this workload's, since they share the cores; what others are reported
+// to hold narrows the window. A barred engine scores past all others, and takes it when all are barred.
 func (m *Module) score(e *engine, s *statement) float64 {
-	zone, warmth := farWeight, coldCost
+	zone, warmth, w := farWeight, coldCost, e.Windows[s.Workload.ID]
 	if e.Zone == m.me.Zone {
 		zone = nearWeight
 	}
 	if e.IsWarm(s.Tables) {
 		warmth = warmCost
 	}
+	if w.Barred {
+		warmth *= barredCost
+	}
 	inFlight := float64(e.Threads) / float64(s.Workload.Threads)
-	left := max(leftLeast, 1-e.Others/(crowdMost*e.Cores)) // of the window, by what others hold there
-	return zone * (inFlight + 1) / (e.Windows[s.Workload.ID].Size * left) * warmth
+	left := max(leftLeast, 1-e.Others/(crowdMost*e.Cores))
+	return zone * (inFlight + 1) / (w.Size * left) * warmth
 }
 
 // candidates takes K engines: warm ones first, then nearer zones, each by rendezvous hash.
@@ -292,34 +289,26 @@
 }
 
 // asked keeps the engines with a fresh report, where reports come by probe alone. If none of these is
-// free of congestion it probes a few more, a statement's next choices; nil: wait for their answers.
-func (m *Module) asked(s *statement, engines []*engine, wide bool) []*engine {
-	var known []*engine
-	free, wait, most := false, false, askFirst
-	if wide {
-		most = askMost
-	}
+// free of congestion it probes a few, the statement's next choices; none: wait for their answers.
+func (m *Module) asked(s *statement, engines []*engine, most int) (known []*engine) {
 	if m.now >= s.AskedAt+probeEvery {
-		s.Asks = 0
+		s.Asks, s.AskedAt = 0, m.now
 	}
 	for _, e := range engines {
 		if m.now < e.Reported+probeEvery {
-			known, free = append(known, e), free || !m.congested(e, s.Workload)
+			if known = append(known, e); !m.congested(e, s.Workload) {
+				most = 0
+			}
 		}
 	}
-	first := m.offset(s, len(engines))
-	for i := 0; !free && i < len(engines); i++ {
-		switch e := engines[(i+first)%len(engines)]; {
-		case m.now < e.Reported+probeEvery:
-		case e.Probing:
-			wait = true
-		case s.Asks < most:
-			if s.Asks == 0 {
-				s.AskedAt = m.now
-			}
-			s.Asks, wait = s.Asks+1, true
+	first, wait := m.offset(s, len(engines)), false
+	for i := 0; most > 0 && i < len(engines); i++ {
+		e := engines[(i+first)%len(engines)]
+		if fresh := m.now < e.Reported+probeEvery; !fresh && !m.probing(e) && s.Asks < most {
+			s.Asks++
 			m.probe(e)
 		}
+		wait = wait || m.probing(e)
 	}
 	if wait {
 		return nil
@@ -332,6 +321,8 @@
 	return int(draw.Rank("", uint64(s.Tables), uint64(m.me.Router)) % uint64(n))
 }
 
+func (m *Module) probing(e *engine) bool { return e.Probing && m.now < e.ProbedAt+probeEvery }
+
 func (m *Module) probe(e *engine) {
 	e.Probing, e.ProbedAt = true, m.now
 	m.do(decision.Probe{Engine: e.Engine})
@@ -398,8 +389,6 @@
 		case w.Refusals > 0: // halved at the refusal
 		case e.Queue >= 1 || utilKnown && e.Util > overUtil || !utilKnown && w.Late*2 > w.Done:
 			m.halve(w)
-		case !utilKnown && w.Done == 0: // nothing seen of it: a little, for what may have passed
-			w.Size = min(w.Size+unseenStep, ceiling(e, m.workloads[i]))
 		case w.Size < w.Threshold:
 			w.Size = min(w.Size*2, ceiling(e, m.workloads[i]))
 		default:
@@ -429,16 +418,7 @@
 func (m *Module) firstWindows(e *engine) []window {
 	windows := make([]window, len(m.workloads))
 	for i, w := range m.workloads {
-		sum, n := 0.0, 0.0
-		for _, o := range m.fleet.All {
-			if o != e && o.Listed && o.State == decision.Ready && o.Kind == e.Kind {
-				sum, n = sum+o.Windows[i].Size, n+1
-			}
-		}
-		windows[i] = window{Size: 1, Threshold: ceiling(e, w)}
-		if n > 0 {
-			windows[i].Size = sum / n
-		}
+		windows[i] = window{Size: m.fleet.MeanWindow(e, i, 1), Threshold: ceiling(e, w)}
 	}
 	return windows
 }
@@ -600,38 +580,33 @@
 
 // sweep is the periodic work: silent engines, lost ones, windows without reports, the router's part.
 func (m *Module) sweep() {
-	m.swept, m.stirred = m.now, true
+	m.relisted, m.cores, m.memory = false, 0, 0
 	for _, e := range m.fleet.All {
 		if !e.Listed || e.State != decision.Ready {
 			continue
 		}
 		m.watch(e)
-		m.meanMem.Add(e.MemOut, float64(len(e.Execs)))
-		if m.limits.MayProbe && e.Lost && !e.Probing && m.now >= max(e.LeftUntil, e.ProbedAt+probeEvery) {
+		if m.limits.MayProbe && e.Lost && m.now >= max(e.LeftUntil, e.ProbedAt+probeEvery) {
 			m.probe(e)
 		}
 		if m.now >= e.Stepped+3*m.period { // reports are missing: own sights stand in
 			e.UtilKnown, e.Queue, e.Others = false, 0, 0
 			m.step(e, false)
 		}
-	}
-	m.meanMem.Fade()
-	m.measure()
-	m.credit += (1 - m.partUsed(math.Inf(1))) * sweepEvery.Seconds()
-	m.credit = min(max(m.credit, -partSpan.Seconds()), partSpan.Seconds())
-}
-
-// measure sums what the engines in use can do.
-func (m *Module) measure() {
-	m.cores, m.memory, m.gate.heavy = 0, 0, 0
-	for _, e := range m.fleet.All {
-		if share := m.gate.warmth(m.now, e); e.Listed && e.State == decision.Ready && !e.Lost && (!e.Left || m.now >= e.LeftUntil) {
+		m.meanMem.Add(e.MemOut, float64(len(e.Execs)))
+		if share := m.gate.warmth(m.now, e); !e.Lost && (!e.Left || m.now >= e.LeftUntil) {
 			m.cores, m.memory = m.cores+share*e.Cores, m.memory+share*e.MemoryMB
 		}
 	}
+	m.meanMem.Fade()
+	m.gate.heavy, m.lightest = 0, 0
 	for _, w := range m.workloads {
-		m.gate.heavy = max(m.gate.heavy, w.Work)
+		m.gate.heavy, m.lightest = max(m.gate.heavy, w.Work), max(m.lightest, w.Importance/w.Work)
 	}
+	span := partSpan.Seconds()
+	m.credit += (1 - m.partUsed(math.Inf(1), 0, 0)) * (m.now - m.swept).Seconds()
+	m.credit = min(max(m.credit, -span), span)
+	m.swept, m.stirred = m.now, true
 }
 
 // ---- 3. Engine health ----
@@ -662,7 +637,7 @@
 		}
 		e.Entry, e.Listed = entry, entry.State != decision.Gone
 	}
-	m.measure()
+	m.relisted = true
 }
 
 // usable: not left; a left engine takes one statement as a trial after a while, idempotent if it can be.
@@ -823,12 +798,6 @@
 
 // ---- 5. Holding and shedding ----
 
-// overShare counts a statement against its member group's share, this router's part of it.
-func (m *Module) overShare(g decision.MemberGroup) bool {
-	sh := m.shares[g]
-	return sh != nil && sh.PerSec > 0 && !sh.Take(m.now)
-}
-
 // hasRoom: this router's part of an engine's threads and memory is not used up, and no load holds
 // the table group there for a statement that would stand still behind it.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
@@ -851,28 +820,19 @@
 // may be less than one statement; over the fleet it is some, kept on average over partSpan, since few
 // statements vary much. What is heavier does not hold up what is lighter.
 func (m *Module) hasPart(s *statement) bool {
-	return m.credit > 0 || m.partUsed(s.Workload.Work)+m.parts(float64(s.Workload.Threads), m.need(s)) <= 1
+	return m.credit > 0 || m.partUsed(s.Workload.Work, float64(s.Workload.Threads), m.need(s)) <= 1
 }
 
-// partUsed is the share of this router's part that workloads up to a mean work use.
-func (m *Module) partUsed(work float64) float64 {
-	threads, mem := 0.0, 0.0
+// partUsed is the share of this router's part that workloads up to a mean work use, and a little more. The
+// part falls with the share of reports that tell of full engines.
+func (m *Module) partUsed(work, threads, mem float64) float64 {
 	for _, w := range m.workloads {
 		if w.Work <= work {
 			threads, mem = threads+float64(w.ThreadsOut), mem+w.MemOut
 		}
 	}
-	return m.parts(threads, mem)
-}
-
-// parts is the larger of two needs as a share of this router's part of the fleet.
-func (m *Module) parts(threads, mem float64) float64 {
 	room := roomThreads - (roomThreads-windowThreads)*min(1, crowdWeight*m.crowded)
-	used := threads * float64(m.gate.routers) / max(1, room*m.cores)
-	if m.memory > 0 {
-		used = max(used, mem*float64(m.gate.routers)/m.memory)
-	}
-	return used
+	return float64(m.gate.routers) * max(threads/max(1, room*m.cores), mem/cmp.Or(m.memory, math.Inf(1)))
 }
 
 // dispatch sends what is held, most urgent first: by the latest start that meets the SLO time;
@@ -937,11 +897,7 @@
 	if m.traits.Grants {
 		t.GrantMB = int64(math.Ceil(m.need(s)))
 	}
-	best := 0.0
-	for _, w := range m.workloads {
-		best = max(best, w.Importance/w.Work)
-	}
-	if m.traits.Priorities && density(s) > best/2 {
+	if m.traits.Priorities && density(s) > m.lightest/2 {
 		t.Priority = 3
 	}
 	if t != s.Terms && (t.GrantMB > 0 || t.Priority != 1) {
