--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -128,6 +128,13 @@
 	return sum / n
 }
 
+// Unlist marks all engines as not listed, before a complete list.
+func (f *Fleet) Unlist() {
+	for _, e := range f.All {
+		e.Listed = false
+	}
+}
+
 // Ranked is the fleet by rendezvous hash for a table group, the same at every router.
 func (f *Fleet) Ranked(tables decision.TableGroup) []*Engine {
 	ranked, ok := f.rankings[tables]
@@ -172,19 +179,40 @@
 	Probing            bool
 	ProbedAt, Reported time.Duration // last probe, last report
 	ColdSent           span.Sum
-	place              int // of this router, for the start at placedAt
-	placedAt           time.Duration
+	place              int // of this router among those that may warm it
+	placed             bool
 	LoadedUntil        map[decision.TableGroup]time.Duration // another router's load holds the group
 }
 
-// Place is a router's place among so many for this start of the engine.
+// Place is a router's place among so many for this engine; it is worked out once.
 func (e *Engine) Place(router, routers int) int {
-	if e.placedAt != e.StartedAt {
-		e.placedAt, e.place = e.StartedAt, draw.Place(string(e.Engine), uint64(e.StartedAt), router, routers)
+	if !e.placed {
+		e.placed, e.place = true, draw.Place(string(e.Engine), 0, router, routers)
 	}
 	return e.place
 }
 
+// Restarted forgets what an engine held before it started anew, but not what is still to end.
+func (e *Engine) Restarted(windows []Window) {
+	e.Warm, e.Left, e.Lost, e.Backoff, e.Others, e.Windows = nil, false, false, 0, 0, windows
+	for _, x := range e.Execs {
+		e.Windows[x.Stmt.Workload.ID].InFlight++
+	}
+}
+
+// Hear takes the fields of a load report that are known.
+func (e *Engine) Hear(r *decision.Report) {
+	if r.Known[decision.FieldUtilisation] {
+		e.Util, e.UtilKnown = r.Value[decision.FieldUtilisation], true
+	}
+	if r.Known[decision.FieldQueue] {
+		e.Queue = r.Value[decision.FieldQueue]
+	}
+	if r.Known[decision.FieldInFlight] {
+		e.Others = max(0, r.Value[decision.FieldInFlight]-float64(len(e.Execs)))
+	}
+}
+
 // IsWarm tells whether the table group is among those sent there lately.
 func (e *Engine) IsWarm(tables decision.TableGroup) bool { return slices.Contains(e.Warm, tables) }
 
@@ -196,8 +224,14 @@
 	}
 }
 
-// Holds adds an execution to what the engine holds.
-func (e *Engine) Holds(x *Execution) {
+// Holds starts a statement's next execution on the engine.
+func (e *Engine) Holds(s *Statement, now time.Duration, memoryMB float64) {
+	x := &Execution{Stmt: s, Engine: e, N: decision.ExecutionID(len(s.Execs)), Sent: now, MemoryMB: memoryMB}
+	if len(e.Execs) == 0 {
+		e.LastNews = now
+	}
+	s.Execs, s.Open = append(s.Execs, x), s.Open+1
+	s.rehome()
 	e.Execs = append(e.Execs, x)
 	w := x.Stmt.Workload
 	e.Threads, w.ThreadsOut = e.Threads+w.Threads, w.ThreadsOut+w.Threads
@@ -205,8 +239,8 @@
 	e.Windows[x.Stmt.Workload.ID].InFlight++
 }
 
-// Release takes an execution out, or returns nil where the engine holds no such execution.
-func (e *Engine) Release(id decision.StatementID, n decision.ExecutionID) *Execution {
+// Release ends an execution, which may be known never to have run; nil where the engine holds no such one.
+func (e *Engine) Release(id decision.StatementID, n decision.ExecutionID, neverRan bool) *Execution {
 	i := slices.IndexFunc(e.Execs, func(x *Execution) bool { return x.Stmt.ID == id && x.N == n })
 	if i < 0 {
 		return nil
@@ -216,7 +250,9 @@
 	w := x.Stmt.Workload
 	e.Threads, w.ThreadsOut = e.Threads-w.Threads, w.ThreadsOut-w.Threads
 	e.MemOut, w.MemOut = e.MemOut-x.MemoryMB, w.MemOut-x.MemoryMB
-	e.Windows[x.Stmt.Workload.ID].InFlight--
+	e.Windows[w.ID].InFlight--
+	x.Ended, x.NeverRan, x.Stmt.Open = true, neverRan, x.Stmt.Open-1
+	x.Stmt.rehome()
 	return x
 }
 
@@ -240,8 +276,8 @@
 	Terms          decision.SetTerms
 }
 
-// Rehome finds the first execution that may have run.
-func (s *Statement) Rehome() {
+// rehome finds the first execution that may have run.
+func (s *Statement) rehome() {
 	s.Home = nil
 	if i := slices.IndexFunc(s.Execs, func(x *Execution) bool { return !x.NeverRan }); i >= 0 {
 		s.Home = s.Execs[i]
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,24 +47,23 @@
 	learnRate          = 0.05
 	backoffFirst       = 500 * time.Millisecond // before a left engine is tried again
 	backoffMost        = 8 * time.Second
-	noteSlack          = 100 * time.Millisecond // for a note to arrive
-	silentPaces        = 10.0                   // times the usual run, which must have passed too
-	silentSLOs         = 0.6                    // SLO times without news, where there are no notes
-	badPlan            = 4.0                    // times the expected run that make an execution worth giving up
-	roomThreads        = 3.2                    // threads a core that all routers together keep on an engine
-	partSpan           = 4 * time.Second        // over which a router keeps its part of the fleet on average
-	crowdLearn         = 0.1                    // of each report, into the share that tells of full engines
-	crowdWeight        = 2.0                    // that share at which the fleet's part is least, inverted
-	mixDecay           = 0.995                  // a sweep, of what own statements out need on average
-	crowdMost          = 1.6                    // statements a core, all routers' and what time-outs left
-	waitsForLoad       = 2                      // in a note: what it waits for
-	loadKnown          = 4                      // notes' time that a load is held to go on after a note of it
-	askFirst, askMost  = 2, 4                   // probes for a statement's candidates, and for wider choice
-	barredCost         = 1e6                    // of a barred engine, in its score
-	leftLeast          = 0.05                   // of a window, however many others hold
-	paceStep           = 0.02                   // of a workload's pace, up or down at each answer
-	chanceRoom         = 3.0                    // of a share, in times its square root
-	lookedMost         = 8                      // statements of a workload that find no room before a pass skips the rest
+	silentPaces        = 10.0            // times the usual run, which must have passed too
+	silentSLOs         = 0.6             // SLO times without news, where there are no notes
+	badPlan            = 4.0             // times the expected run that make an execution worth giving up
+	roomThreads        = 3.2             // threads a core that all routers together keep on an engine
+	partSpan           = 4 * time.Second // over which a router keeps its part of the fleet on average
+	crowdLearn         = 0.1             // of each report, into the share that tells of full engines
+	crowdWeight        = 2.0             // that share at which the fleet's part is least, inverted
+	mixDecay           = 0.995           // a sweep, of what own statements out need on average
+	crowdMost          = 1.6             // statements a core, all routers' and what time-outs left
+	waitsForLoad       = 2               // in a note: what it waits for
+	loadKnown          = 4               // notes' time that a load is held to go on after a note of it
+	askFirst, askMost  = 2, 4            // probes for a statement's candidates, and for wider choice
+	barredCost         = 1e6             // of a barred engine, in its score
+	leftLeast          = 0.05            // of a window, however many others hold
+	paceStep           = 0.02            // of a workload's pace, up or down at each answer
+	chanceRoom         = 3.0             // of a share, in times its square root
+	lookedMost         = 8               // statements of a workload that find no room before a pass skips the rest
 	grantFirst         = 1.25
 	grantMost          = 3.0
 	grantUp, grantDown = 0.04, 0.004 // of a workload's grants, at a spill and without one
@@ -88,7 +87,13 @@
 	held      []*statement
 	traffic   state.Traffic // decayed counts of statements, by table group
 	shares    map[decision.MemberGroup]*state.Share
-	gate      gate
+	rules     decision.Rules
+	routers   float64
+	keys      state.KeyLines // lines of statements that keep their order
+	taken     span.Sum       // statements
+	further   span.Sum       // executions beyond each statement's first
+	opened    time.Duration  // when this instance started
+	heaviest  float64        // mean work of a workload, the largest
 	due       due.Times
 	armed     time.Duration // when the one timer comes, 0: not set
 	swept     time.Duration // last sweep
@@ -105,7 +110,6 @@
 	crowded   float64    // share of late reports that told of a full engine
 	meanMem   state.Mean // memory of an own execution that is out
 	lightest  float64    // highest importance for its work of a workload
-	relisted  bool       // the list has changed
 	stirred   bool       // what is held may find room that it did not find before
 	tried     int        // held statements that found no room since the last stir
 }
@@ -114,21 +118,20 @@
 func New(me decision.Identity, workloads []decision.Workload, traits decision.Engines,
 	shares decision.Shares, limits decision.Limits, rules decision.Rules, reports decision.Reports) *Module {
 	m := &Module{me: me, stmts: map[decision.StatementID]*statement{}, traffic: state.Traffic{Decay: fanOutDecay},
-		shares: map[decision.MemberGroup]*state.Share{}, traits: traits, limits: limits, period: inlinePeriod,
+		shares: map[decision.MemberGroup]*state.Share{}, traits: traits, limits: limits, rules: rules, period: inlinePeriod,
+		routers: float64(max(1, me.Routers)), keys: state.KeyLines{}, opened: -1,
 		byProbe: reports.Path == decision.ReportsByProbe && limits.MayProbe,
 		chance:  draw.Source{Seed: me.Seed}, meanMem: state.Mean{Decay: mixDecay}}
 	if m.byProbe {
 		m.period = probeEvery
 	}
-	m.gate = gate{rules: rules, routers: max(1, me.Routers), me: me.Router, copies: limits.SecondCopies,
-		most: limits.MaxExecutions, keys: state.KeyLines{}, opened: -1}
 	for i, w := range workloads {
 		w.Threads = max(1, w.Threads)
 		m.workloads = append(m.workloads, &workload{Workload: w, ID: decision.WorkloadID(i), Grant: grantFirst,
 			Pace: 1, Work: w.SLO.Seconds() / 4 * float64(w.Threads)})
 	}
 	for _, g := range shares.Groups {
-		rate := g.PerSec / float64(m.gate.routers)
+		rate := g.PerSec / m.routers
 		most := rate + chanceRoom*math.Sqrt(rate) + 1 // few statements a second vary much
 		m.shares[g.Group] = &state.Share{PerSec: rate, Most: most, Tokens: most}
 	}
@@ -140,8 +143,8 @@
 
 // Handle takes what happened now, in order, and returns what to do, in order.
 func (m *Module) Handle(now time.Duration, events []decision.Event) []decision.Action {
-	if m.now, m.actions = now, nil; m.gate.opened < 0 {
-		m.gate.opened = now
+	if m.now, m.actions = now, nil; m.opened < 0 {
+		m.opened = now
 	}
 	for _, event := range events {
 		switch ev := event.(type) {
@@ -171,7 +174,7 @@
 		m.stirred = true
 	}
 	m.due.Run(now)
-	if now >= m.swept+sweepEvery || m.relisted {
+	if now >= m.swept+sweepEvery {
 		m.sweep()
 	}
 	m.dispatch()
@@ -201,7 +204,11 @@
 	s.SLODue = m.now + w.Allowance(s.Run)
 	m.stmts[s.ID] = s
 	m.traffic.Count(s.Tables)
-	m.gate.took(m.now, s, ev.Key)
+	m.taken.Add(m.now, 1)
+	if w.InOrder && ev.Key != "" {
+		s.Key = ev.Key
+		m.keys.Join(s)
+	}
 	m.due.At(s.End-2*max(m.me.Tick, time.Millisecond), func() { m.giveUp(s) })
 	if m.held = append(m.held, s); m.limits.MaxOpen > 0 && len(m.stmts) >= m.limits.MaxOpen-1 {
 		m.giveUp(s)
@@ -213,7 +220,7 @@
 	// The rules first, then health: no other engine is looked at.
 	var ready []*engine
 	for _, e := range m.fleet.Ranked(s.Tables) {
-		if m.gate.allows(m.now, s, e) && m.usable(e, s) {
+		if m.allows(s, e) && m.usable(e, s) {
 			ready = append(ready, e)
 		}
 	}
@@ -336,15 +343,14 @@
 }
 
 func (m *Module) send(s *statement, e *engine) {
-	x := &execution{Stmt: s, Engine: e, N: decision.ExecutionID(len(s.Execs)), Sent: m.now, MemoryMB: m.need(s)}
-	m.gate.sent(m.now, s, e)
-	if len(e.Execs) == 0 {
-		e.LastNews = m.now
+	if len(s.Execs) > 0 && m.rules.FurtherWindow > 0 {
+		m.further.Add(m.now, 1)
+	}
+	if m.isCold(e) {
+		e.ColdSent.Add(m.now, s.Workload.Work)
 	}
-	e.Holds(x)
+	e.Holds(s, m.now, m.need(s))
 	e.Touch(s.Tables, warmGroups)
-	s.Execs, s.Open = append(s.Execs, x), s.Open+1
-	s.Rehome()
 	m.setTerms(s)
 	m.do(decision.Execute{Statement: s.ID, Engine: e.Engine})
 }
@@ -359,23 +365,14 @@
 		return
 	}
 	e.Reported = m.now
-	known := r.Known[decision.FieldUtilisation]
-	if known {
-		e.Util, e.UtilKnown = r.Value[decision.FieldUtilisation], true
-	}
-	if r.Known[decision.FieldQueue] {
-		e.Queue = r.Value[decision.FieldQueue]
-	}
-	if r.Known[decision.FieldInFlight] {
-		e.Others = max(0, r.Value[decision.FieldInFlight]-float64(len(e.Execs)))
-	}
+	e.Hear(r)
 	over := 0.0
 	if e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores || e.Queue >= 1 {
 		over = 1
 	}
 	m.crowded += crowdLearn * (over - m.crowded)
 	if m.now >= e.Stepped+m.period {
-		m.step(e, known)
+		m.step(e, r.Known[decision.FieldUtilisation])
 	}
 }
 
@@ -425,123 +422,79 @@
 
 // ---- 1. The rule gate ----
 
-type gate struct {
-	rules   decision.Rules
-	routers int
-	me      decision.RouterID
-	copies  bool // two executions of a statement may be out at once
-	most    int  // executions of a statement
-	keys    state.KeyLines
-	taken   span.Sum      // statements
-	further span.Sum      // executions beyond each statement's first
-	opened  time.Duration // when this instance started
-	heavy   float64       // largest mean work of a workload
-}
-
 // allows tells whether the rules let this statement go to this engine now.
-func (g *gate) allows(now time.Duration, s *statement, e *engine) bool {
+func (m *Module) allows(s *statement, e *engine) bool {
 	w := s.Workload
 	switch {
-	case s.Done, s.Streamed, now >= s.End, s.Open > 0 && !g.copies:
+	case s.Done, s.Streamed, m.now >= s.End, s.Open > 0 && !m.limits.SecondCopies:
 	case !e.Listed, e.State != decision.Ready: // drains, stricter than their grace
 	case len(w.Zones) > 0 && !slices.Contains(w.Zones, e.Zone):
 	case len(w.Kinds) > 0 && !slices.Contains(w.Kinds, e.Kind):
-	case !g.mayRepeat(now, s):
-	case w.Effect == decision.Deduplicated && s.Home != nil && !dropsRepeats(w.DedupScope, s.Home.Engine, e):
-	case !g.inTurn(now, s), !g.furtherLeft(now, s), !g.coldLeft(now, s, e):
+	case !m.mayRepeat(s):
+	case w.Effect == decision.Deduplicated && s.Home != nil && w.DedupScope != decision.ScopeAll &&
+		!(w.DedupScope == decision.ScopeZone && s.Home.Engine.Zone == e.Zone) &&
+		!(w.DedupScope == decision.ScopeCell && s.Home.Engine.Cell == e.Cell):
+	case !m.inTurn(s), !m.furtherLeft(s), !m.coldLeft(s, e):
 	default:
 		return true
 	}
 	return false
 }
 
-func dropsRepeats(scope decision.Scope, home, e *engine) bool {
-	return scope == decision.ScopeAll || scope == decision.ScopeZone && home.Zone == e.Zone ||
-		scope == decision.ScopeCell && home.Cell == e.Cell
-}
-
 // mayRepeat: no effect twice; what may have run goes again only where that is harmless.
-func (g *gate) mayRepeat(now time.Duration, s *statement) bool {
+func (m *Module) mayRepeat(s *statement) bool {
 	w := s.Workload
-	return (g.most == 0 || len(s.Execs) < g.most) && (s.Home == nil || w.Effect == decision.Idempotent ||
-		w.Effect == decision.Deduplicated && now < s.Home.Sent+w.DedupWindow)
+	return (m.limits.MaxExecutions == 0 || len(s.Execs) < m.limits.MaxExecutions) && (s.Home == nil || w.Effect == decision.Idempotent ||
+		w.Effect == decision.Deduplicated && m.now < s.Home.Sent+w.DedupWindow)
 }
 
 // mayReject: a rejection says that trying again is harmless.
-func (g *gate) mayReject(s *statement) bool {
+func (m *Module) mayReject(s *statement) bool {
 	return s.Home == nil || s.Workload.Effect == decision.Idempotent ||
 		s.Workload.Effect == decision.Deduplicated && s.Workload.DedupScope == decision.ScopeAll
 }
 
-// took counts a statement and puts it in its key's line.
-func (g *gate) took(now time.Duration, s *statement, key decision.Key) {
-	g.taken.Add(now, 1)
-	g.taken.Over(now - g.rules.FurtherWindow)
-	if s.Workload.InOrder && key != "" {
-		s.Key = key
-		g.keys.Join(s)
-	}
-}
-
 // furtherLeft: further executions stay within their budget in every window. A statement taken
 // just a window ago no longer counts, an execution sent then still does.
-func (g *gate) furtherLeft(now time.Duration, s *statement) bool {
-	window := g.rules.FurtherWindow
+func (m *Module) furtherLeft(s *statement) bool {
+	window := m.rules.FurtherWindow
 	return window == 0 || len(s.Execs) == 0 ||
-		g.further.Over(now-window)+1 <= g.rules.FurtherFree+g.rules.FurtherShare*g.taken.Over(now-window+1)
+		m.further.Over(m.now-window)+1 <= m.rules.FurtherFree+m.rules.FurtherShare*m.taken.Over(m.now-window+1)
 }
 
 // inTurn: a key's statements run one at a time, in the order they were taken.
-func (g *gate) inTurn(now time.Duration, s *statement) bool {
-	k := g.keys[s.Key]
-	return s.Key == "" || k.Line[0] == s && (len(s.Execs) > 0 || k.Open == 0 && now >= k.RestUntil)
-}
-
-// settle hears of an outcome; after some of them the execution may still run, and the key rests.
-func (g *gate) settle(now time.Duration, s *statement, o decision.Outcome) {
-	rest := now
-	if o == decision.TimedOut || o == decision.Reset || o == decision.Cancelled {
-		rest += g.rules.KeyRest
-	}
-	g.keys.Settle(s, rest)
+func (m *Module) inTurn(s *statement) bool {
+	k := m.keys[s.Key]
+	return s.Key == "" || k.Line[0] == s && (len(s.Execs) > 0 || k.Open == 0 && m.now >= k.RestUntil)
 }
 
 // coldLeft: all routers together may send a cold engine only so much work in any window, judged at the
 // capacity that a cold engine has at the very least. Cut among hundreds of routers that is less than a
 // statement each, so the rendezvous hash, which all can work out alone, names the few that may warm it.
 // A router that has just started does not know what it sent before, and waits for a window.
-func (g *gate) coldLeft(now time.Duration, s *statement, e *engine) bool {
-	r := g.rules
-	if !g.isCold(now, e) {
+func (m *Module) coldLeft(s *statement, e *engine) bool {
+	r := m.rules
+	if !m.isCold(e) {
 		return true
 	}
 	all := coldSafety * r.ColdMultiple * r.ColdShare * capacityShare * e.Cores * r.ColdWindow.Seconds()
-	few := min(g.routers, max(1, int(all/max(g.heavy, s.Workload.Work))))
-	sent := e.ColdSent.Over(now - r.ColdWindow - coldMargin)
-	return sent+s.Workload.Work <= all/float64(few) && now >= g.opened+r.ColdWindow &&
-		e.Place(int(g.me), g.routers) < few
+	few := min(int(m.routers), max(1, int(all/max(m.heaviest, s.Workload.Work))))
+	sent := e.ColdSent.Over(m.now - r.ColdWindow - coldMargin)
+	return sent+s.Workload.Work <= all/float64(few) && m.now >= m.opened+r.ColdWindow &&
+		e.Place(int(m.me.Router), int(m.routers)) < few
 }
 
-func (g *gate) isCold(now time.Duration, e *engine) bool {
-	return e.StartedAt > 0 && now < e.StartedAt+g.rules.WarmAfter+coldMargin && g.rules.ColdWindow > 0
+func (m *Module) isCold(e *engine) bool {
+	return e.StartedAt > 0 && m.now < e.StartedAt+m.rules.WarmAfter+coldMargin && m.rules.ColdWindow > 0
 }
 
 // warmth is the share of its capacity that an engine is held to have.
-func (g *gate) warmth(now time.Duration, e *engine) float64 {
-	if !g.isCold(now, e) {
+func (m *Module) warmth(e *engine) float64 {
+	if !m.isCold(e) {
 		return 1
 	}
-	cold := g.rules.ColdShare
-	return min(1, cold+(1-cold)*float64(now-e.StartedAt)/float64(max(1, g.rules.WarmAfter)))
-}
-
-func (g *gate) sent(now time.Duration, s *statement, e *engine) {
-	if len(s.Execs) > 0 && g.rules.FurtherWindow > 0 {
-		g.further.Add(now, 1)
-	}
-	if g.isCold(now, e) {
-		e.ColdSent.Add(now, s.Workload.Work)
-	}
+	cold := m.rules.ColdShare
+	return min(1, cold+(1-cold)*float64(m.now-e.StartedAt)/float64(max(1, m.rules.WarmAfter)))
 }
 
 // ---- 2. The clock: what ends a statement, and the periodic work ----
@@ -551,7 +504,7 @@
 	switch {
 	case s.Done || s.Streamed:
 		return
-	case !m.gate.mayReject(s):
+	case !m.mayReject(s):
 		m.do(decision.Abort{Statement: s.ID})
 	case m.limits.RetryAdvice:
 		m.do(decision.Reject{Statement: s.ID, RetryIn: m.limits.MaxRetryAdvice})
@@ -563,7 +516,7 @@
 
 // finish forgets a statement that is over and calls off what still runs for it.
 func (m *Module) finish(s *statement) {
-	m.gate.keys.Leave(s)
+	m.keys.Leave(s)
 	s.Done = true
 	delete(m.stmts, s.ID)
 	for _, x := range s.Execs {
@@ -580,28 +533,25 @@
 
 // sweep is the periodic work: silent engines, lost ones, windows without reports, the router's part.
 func (m *Module) sweep() {
-	m.relisted, m.cores, m.memory = false, 0, 0
+	m.cores, m.memory = 0, 0
 	for _, e := range m.fleet.All {
 		if !e.Listed || e.State != decision.Ready {
 			continue
 		}
 		m.watch(e)
-		if m.limits.MayProbe && e.Lost && m.now >= max(e.LeftUntil, e.ProbedAt+probeEvery) {
-			m.probe(e)
-		}
 		if m.now >= e.Stepped+3*m.period { // reports are missing: own sights stand in
 			e.UtilKnown, e.Queue, e.Others = false, 0, 0
 			m.step(e, false)
 		}
 		m.meanMem.Add(e.MemOut, float64(len(e.Execs)))
-		if share := m.gate.warmth(m.now, e); !e.Lost && (!e.Left || m.now >= e.LeftUntil) {
+		if share := m.warmth(e); !e.Lost && (!e.Left || m.now >= e.LeftUntil) {
 			m.cores, m.memory = m.cores+share*e.Cores, m.memory+share*e.MemoryMB
 		}
 	}
 	m.meanMem.Fade()
-	m.gate.heavy, m.lightest = 0, 0
+	m.heaviest, m.lightest = 0, 0
 	for _, w := range m.workloads {
-		m.gate.heavy, m.lightest = max(m.gate.heavy, w.Work), max(m.lightest, w.Importance/w.Work)
+		m.heaviest, m.lightest = max(m.heaviest, w.Work), max(m.lightest, w.Importance/w.Work)
 	}
 	span := partSpan.Seconds()
 	m.credit += (1 - m.partUsed(math.Inf(1), 0, 0)) * (m.now - m.swept).Seconds()
@@ -617,9 +567,7 @@
 		m.due.At(m.now+seconds(1+m.chance.Float()), func() { m.do(decision.FollowList{On: true}) })
 	}
 	if ev.Kind == decision.ListComplete || ev.Kind == decision.ListPersisted {
-		for _, e := range m.fleet.All {
-			e.Listed = false
-		}
+		m.fleet.Unlist()
 	}
 	for _, entry := range ev.Entries {
 		e := m.fleet.Of(entry.Engine)
@@ -629,15 +577,11 @@
 				Stepped: m.now, LastNews: m.now, LoadedUntil: map[decision.TableGroup]time.Duration{}})
 			e.Windows = m.firstWindows(e)
 		} else if entry.StartedAt > e.StartedAt { // started anew: it holds nothing warm
-			e.Warm, e.Left, e.Lost, e.Backoff, e.Others = nil, false, false, 0, 0
-			e.Windows = m.firstWindows(e)
-			for _, x := range e.Execs {
-				e.Windows[x.Stmt.Workload.ID].InFlight++
-			}
+			e.Restarted(m.firstWindows(e))
 		}
 		e.Entry, e.Listed = entry, entry.State != decision.Gone
 	}
-	m.relisted = true
+	m.sweep()
 }
 
 // usable: not left; a left engine takes one statement as a trial after a while, idempotent if it can be.
@@ -671,7 +615,7 @@
 		patience := max(time.Duration(silentSLOs*float64(x.Stmt.Workload.Allowance(x.Stmt.Run))),
 			time.Duration(silentPaces*x.Stmt.Workload.Pace*float64(x.Stmt.Run)))
 		if m.traits.ProgressEvery > 0 {
-			patience = 2*m.traits.ProgressEvery + noteSlack
+			patience = 2 * (m.traits.ProgressEvery + sweepEvery) // for a note to arrive
 		}
 		if m.now > max(e.LastNews, x.Sent)+patience {
 			m.leave(e, false)
@@ -687,12 +631,11 @@
 	}
 	e.Probing = false
 	m.report(e, ev.Report)
-	if ev.Outcome == decision.NotConnected {
+	switch {
+	case ev.Outcome == decision.NotConnected:
 		m.leave(e, true)
-	} else if ev.Outcome == decision.TimedOut { // too busy to answer a probe: as good as full
+	case ev.Outcome == decision.TimedOut: // too busy to answer a probe: as good as full
 		e.Reported, e.Others = m.now, crowdMost*e.Cores
-	} else if ev.Outcome == decision.Completed && e.Lost { // it tells of a process, not that work gets done
-		m.back(e)
 	}
 }
 
@@ -710,7 +653,7 @@
 	x := s.Execs[ev.Execution]
 	switch ev.Note {
 	case decision.NoteSpills: // with memory left there, estimates are too low
-		if !x.Spilled && x.Engine.MemOut <= x.Engine.MemoryMB/float64(m.gate.routers) {
+		if !x.Spilled && x.Engine.MemOut <= x.Engine.MemoryMB/m.routers {
 			s.Workload.Grant = min(grantMost, s.Workload.Grant*(1+grantUp))
 		}
 		x.Spilled = true
@@ -731,29 +674,33 @@
 // rescue calls off an execution that is stuck or has a bad plan, so that it may go elsewhere.
 func (m *Module) rescue(x *execution) {
 	s := x.Stmt
-	if s.Done || s.Streamed || s.Workload.Effect != decision.Idempotent || !m.gate.mayRepeat(m.now, s) {
+	if s.Done || s.Streamed || s.Workload.Effect != decision.Idempotent || !m.mayRepeat(s) {
 		return
 	}
-	if m.cancel(x); !x.Cancelled && m.gate.copies && s.Open == 1 && !slices.Contains(m.held, s) {
+	if m.cancel(x); !x.Cancelled && m.limits.SecondCopies && s.Open == 1 && !slices.Contains(m.held, s) {
 		s.Avoid, m.held = x.Engine, append(m.held, s) // no cancel here, but a second copy
 	}
 }
 
 // ended takes the one outcome of an execution.
 func (m *Module) ended(ev decision.ExecutionEnded) {
-	e, x := m.fleet.Of(ev.Engine), (*execution)(nil)
-	if e != nil {
-		x = e.Release(ev.Statement, ev.Execution)
+	e := m.fleet.Of(ev.Engine)
+	if e == nil {
+		return
 	}
+	x := e.Release(ev.Statement, ev.Execution, ev.Outcome == decision.Full ||
+		ev.Outcome == decision.NotConnected || ev.Outcome == decision.NeverSent)
 	if x == nil {
 		return
 	}
 	s, w := x.Stmt, &e.Windows[x.Stmt.Workload.ID]
-	x.Ended = true
-	s.Open--
-	m.gate.settle(m.now, s, ev.Outcome)
-	if s.Key != "" { // what waits for its turn may go when the key has rested
-		m.due.At(m.now+m.gate.rules.KeyRest, func() { m.stirred = true })
+	if s.Key != "" { // after some outcomes it may still run: the key rests, then the next may go
+		rest := m.now
+		if ev.Outcome == decision.TimedOut || ev.Outcome == decision.Reset || ev.Outcome == decision.Cancelled {
+			rest += m.rules.KeyRest
+		}
+		m.keys.Settle(s, rest)
+		m.due.At(rest, func() { m.stirred = true })
 	}
 	switch ev.Outcome {
 	case decision.Completed, decision.Errored:
@@ -779,16 +726,13 @@
 			m.leave(e, false)
 		}
 	}
-	x.NeverRan = ev.Outcome == decision.Full || ev.Outcome == decision.NotConnected ||
-		ev.Outcome == decision.NeverSent
-	s.Rehome()
 	m.report(e, ev.Report)
 	switch {
 	case s.Done:
 	case ev.Over:
 		m.finish(s)
 	case s.Open > 0:
-	case m.now < s.End-2*m.me.Tick && m.gate.mayRepeat(m.now, s):
+	case m.now < s.End-2*m.me.Tick && m.mayRepeat(s):
 		s.Avoid = e
 		m.held = append(m.held, s)
 	default:
@@ -801,10 +745,9 @@
 // hasRoom: this router's part of an engine's threads and memory is not used up, and no load holds
 // the table group there for a statement that would stand still behind it.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
-	routers := float64(m.gate.routers)
-	limit := roomThreads * e.Cores / math.Pow(routers, 0.75) * m.gate.warmth(m.now, e)
+	limit := roomThreads * e.Cores / math.Pow(m.routers, 0.75) * m.warmth(e)
 	if float64(e.Threads) >= limit || e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores ||
-		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/routers {
+		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.routers {
 		return false
 	}
 	// What others hold there is held to need what own statements need on average.
@@ -832,7 +775,7 @@
 		}
 	}
 	room := roomThreads - (roomThreads-windowThreads)*min(1, crowdWeight*m.crowded)
-	return float64(m.gate.routers) * max(threads/max(1, room*m.cores), mem/cmp.Or(m.memory, math.Inf(1)))
+	return m.routers * max(threads/max(1, room*m.cores), mem/cmp.Or(m.memory, math.Inf(1)))
 }
 
 // dispatch sends what is held, most urgent first: by the latest start that meets the SLO time;
@@ -862,7 +805,7 @@
 		if s.Open == 0 && (m.now > s.End-s.Run/2 || w.LateShare == 0 && m.now > (s.SLODue+start(s))/2) {
 			m.giveUp(s) // no answer in time, or none that still counts
 		}
-		if s.Done || looked[w.ID] >= lookedMost || !m.gate.inTurn(m.now, s) {
+		if s.Done || looked[w.ID] >= lookedMost || !m.inTurn(s) {
 			return s.Done
 		}
 		var e *engine
