What cannot end before its client gives up is not started

Cause: where a time-out stops nothing, statements of 20 times the usual work were started and burned on after their client left.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -802,7 +802,8 @@
 	looked := make([]int, len(m.workloads))
 	left := slices.DeleteFunc(m.held[m.tried:], func(s *statement) bool {
 		w := s.Workload
-		if s.Open == 0 && (m.now > s.End-s.Run/2 || w.LateShare == 0 && m.now > (s.SLODue+start(s))/2) {
+		lastStart := s.End - time.Duration(w.Pace*float64(s.Run)) // what starts later works for nobody
+		if s.Open == 0 && (m.now > lastStart || w.LateShare == 0 && m.now > (s.SLODue+start(s))/2) {
 			m.giveUp(s) // no answer in time, or none that still counts
 		}
 		if s.Done || looked[w.ID] >= lookedMost || !m.inTurn(s) {
