Highest priority for what is half done, by its notes

It should help against any slow-down; it could harm where all that runs is half done, when it changes nothing.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,6 +61,7 @@
 	askFirst, askMost  = 2, 4            // probes for a statement's candidates, and for wider choice
 	barredCost         = 1e6             // of a barred engine, in its score
 	leftLeast          = 0.05            // of a window, however many others hold
+	halfDone           = 0.5             // share done from which an execution gets the highest priority
 	paceStep           = 0.02            // of a workload's pace, up or down at each answer
 	chanceRoom         = 3.0             // of a share, in times its square root
 	lookedMost         = 8               // statements of a workload that find no room before a pass skips the rest
@@ -667,6 +668,9 @@
 		left := elapsed * (1 - ev.Value) / max(ev.Value, 0.002)
 		if run := s.Run.Seconds(); elapsed+left > badPlan*max(run, 0.5) && left > 2*run {
 			m.rescue(x)
+		} else if ev.Value > halfDone && m.traits.Priorities && s.Terms.Priority != 3 {
+			s.Terms = decision.SetTerms{Statement: s.ID, GrantMB: s.Terms.GrantMB, Priority: 3}
+			m.do(s.Terms) // what is nearly done frees its memory and threads soonest
 		}
 	}
 }
