Late statements go only into a router's unused part

Cause: under pressure what is late already took memory and threads from what could still be in time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -767,7 +767,11 @@
 // may be less than one statement; over the fleet it is some, kept on average over partSpan, since few
 // statements vary much. What is heavier does not hold up what is lighter.
 func (m *Module) hasPart(s *statement) bool {
-	return m.credit > 0 || m.partUsed(s.Workload.Work, float64(s.Workload.Threads), m.need(s)) <= 1
+	threads, need := float64(s.Workload.Threads), m.need(s)
+	if m.now > s.SLODue { // what is late already takes only what nobody else needs
+		return m.credit > 0 && m.partUsed(math.Inf(1), threads, need) <= 1
+	}
+	return m.credit > 0 || m.partUsed(s.Workload.Work, threads, need) <= 1
 }
 
 // partUsed is the share of this router's part that workloads up to a mean work use, and a little more. The
