--- a/policy/policy.go
+++ b/policy/policy.go
@@ -768,7 +768,7 @@
 // statements vary much. What is heavier does not hold up what is lighter.
 func (m *Module) hasPart(s *statement) bool {
 	threads, need := float64(s.Workload.Threads), m.need(s)
-	if m.now > s.SLODue { // what is late already takes only what nobody else needs
+	if m.now > latestStart(s) { // what is late already takes only what nobody else needs
 		return m.credit > 0 && m.partUsed(math.Inf(1), threads, need) <= 1
 	}
 	return m.credit > 0 || m.partUsed(s.Workload.Work, threads, need) <= 1
@@ -789,14 +789,11 @@
 // dispatch sends what is held, most urgent first: by the latest start that meets the SLO time;
 // what is late comes after that, and what is beyond its share last.
 func (m *Module) dispatch() {
-	start := func(s *statement) time.Duration { // the latest that meets the SLO time, as engines are now
-		return s.SLODue - time.Duration(s.Workload.Pace*float64(s.Run))
-	}
 	tier := func(s *statement) int {
 		switch {
 		case s.OverShare:
 			return 2
-		case m.now > start(s):
+		case m.now > latestStart(s):
 			return 1
 		}
 		return 0
@@ -811,7 +808,7 @@
 	left := slices.DeleteFunc(m.held[m.tried:], func(s *statement) bool {
 		w := s.Workload
 		lastStart := s.End - time.Duration(w.Pace*float64(s.Run)) // what starts later works for nobody
-		if s.Open == 0 && (m.now > lastStart || w.LateShare == 0 && m.now > (s.SLODue+start(s))/2) {
+		if s.Open == 0 && (m.now > lastStart || w.LateShare == 0 && m.now > (s.SLODue+latestStart(s))/2) {
 			m.giveUp(s) // no answer in time, or none that still counts
 		}
 		if s.Done || looked[w.ID] >= lookedMost || !m.inTurn(s) {
@@ -858,6 +855,11 @@
 	}
 }
 
+// latestStart is the latest that meets the SLO time, at the pace of engines now.
+func latestStart(s *statement) time.Duration {
+	return s.SLODue - time.Duration(s.Workload.Pace*float64(s.Run))
+}
+
 // density is a statement's importance for its work.
 func density(s *statement) float64 {
 	return s.Workload.Importance / max(0.001, s.Run.Seconds()*float64(s.Workload.Threads))
