Loads spread over the half of the engines where their group is read least

Cause: when the mix turns to loads, those of a hot group from all routers meet on few engines and stand in line behind each other. Symptom: notes of waiting for loads while loads are a tenth of the sends.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -288,11 +288,12 @@
 			tiers[2] = append(tiers[2], e)
 		}
 	}
-	if s.Workload.Load {
-		slices.Reverse(tiers[2])
-	}
 	step := (m.traffic.Total()/float64(len(ready)) + 1) / fanOutSlack
 	k := max(1, len(tiers[0]), int(m.traffic.Of(s.Tables)/step)+1)
+	if s.Workload.Load { // two on one engine would stand in line
+		slices.Reverse(tiers[2])
+		k = max(k, len(ready)/2)
+	}
 	return slices.Concat(tiers[:]...)[:min(k, fanOutMost, len(ready))]
 }
 
