--- a/decision/decision.go
+++ b/decision/decision.go
@@ -296,6 +296,9 @@
 	NoteWaits    Note = 3 // 1 for memory, 2 for a load
 )
 
+// WaitsForLoad is the value of a note of waiting where a load is what holds the statement up.
+const WaitsForLoad = 2
+
 func (EngineList) event()       {}
 func (StatementArrived) event() {}
 func (AnswerStarted) event()    {}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -80,18 +80,6 @@
 	return true
 }
 
-// Mean is a decayed mean.
-type Mean struct{ Decay, sum, weight float64 }
-
-// Add adds the sum of so many values.
-func (m *Mean) Add(sum, count float64) { m.sum, m.weight = m.sum+sum, m.weight+count }
-
-// Fade lets what was added so far count less.
-func (m *Mean) Fade() { m.sum, m.weight = m.sum*m.Decay, m.weight*m.Decay }
-
-// Value is the mean, 0 where little was added.
-func (m *Mean) Value() float64 { return m.sum / max(1, m.weight) }
-
 // Fleet holds all engines ever listed, by id, and their order by rendezvous hash.
 type Fleet struct {
 	All      []*Engine
@@ -128,6 +116,14 @@
 	return sum / n
 }
 
+// Release ends an execution, which may be known never to have run; nil where the engine holds no such one.
+func (f *Fleet) Release(on decision.EngineID, id decision.StatementID, n decision.ExecutionID, neverRan bool) *Execution {
+	if e := f.byID[on]; e != nil {
+		return e.release(id, n, neverRan)
+	}
+	return nil
+}
+
 // Unlist marks all engines as not listed, before a complete list.
 func (f *Fleet) Unlist() {
 	for _, e := range f.All {
@@ -239,8 +235,7 @@
 	e.Windows[x.Stmt.Workload.ID].InFlight++
 }
 
-// Release ends an execution, which may be known never to have run; nil where the engine holds no such one.
-func (e *Engine) Release(id decision.StatementID, n decision.ExecutionID, neverRan bool) *Execution {
+func (e *Engine) release(id decision.StatementID, n decision.ExecutionID, neverRan bool) *Execution {
 	i := slices.IndexFunc(e.Execs, func(x *Execution) bool { return x.Stmt.ID == id && x.N == n })
 	if i < 0 {
 		return nil
@@ -271,8 +266,6 @@
 	Open           int        // executions without an outcome
 	Home           *Execution // the first that may have run
 	Avoid          *Engine    // where it went wrong last
-	Asks           int        // probes for it since AskedAt
-	AskedAt        time.Duration
 	Terms          decision.SetTerms
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,43 +34,38 @@
 	fanOutSlack           = 4.0       // candidates over a table group's even part of the engines
 	fanOutDecay           = 0.999     // of the table groups' counts, at each statement
 	fanOutMost            = 32
-	windowThreads         = 2.0                    // ceiling of a window, in threads a core
-	busyUtil              = 0.65                   // above it a candidate counts as congested
-	overUtil              = 0.90                   // above it a window is halved
-	probeEvery            = time.Second            // how long a probe's report counts as fresh
-	inlinePeriod          = 500 * time.Millisecond // report period where answers bring reports
-
-	sweepEvery         = 50 * time.Millisecond
-	coldSafety         = 0.6                    // of a cold engine's budget, for slow machines and chance
-	coldMargin         = 500 * time.Millisecond // around the rule's times, for what is on its way
-	capacityShare      = 0.85                   // of the cores, busy at capacity
-	learnRate          = 0.05
-	backoffFirst       = 500 * time.Millisecond // before a left engine is tried again
-	backoffMost        = 8 * time.Second
-	silentPaces        = 10.0            // times the usual run, which must have passed too
-	silentSLOs         = 0.6             // SLO times without news, where there are no notes
-	badPlan            = 4.0             // times the expected run that make an execution worth giving up
-	roomThreads        = 3.2             // threads a core that all routers together keep on an engine
-	partSpan           = 4 * time.Second // over which a router keeps its part of the fleet on average
-	crowdLearn         = 0.1             // of each report, into the share that tells of full engines
-	crowdWeight        = 2.0             // that share at which the fleet's part is least, inverted
-	mixDecay           = 0.995           // a sweep, of what own statements out need on average
-	crowdMost          = 1.6             // statements a core, all routers' and what time-outs left
-	waitsForLoad       = 2               // in a note: what it waits for
-	loadKnown          = 4               // notes' time that a load is held to go on after a note of it
-	askFirst, askMost  = 2, 4            // probes for a statement's candidates, and for wider choice
-	barredCost         = 1e6             // of a barred engine, in its score
-	leftLeast          = 0.05            // of a window, however many others hold
-	halfDone           = 0.5             // share done from which an execution gets the highest priority
-	paceStep           = 0.02            // of a workload's pace, up or down at each answer
-	chanceRoom         = 3.0             // of a share, in times its square root
-	lookedMost         = 8               // statements of a workload that find no room before a pass skips the rest
-	grantFirst         = 1.25
-	grantMost          = 3.0
-	grantUp, grantDown = 0.04, 0.004 // of a workload's grants, at a spill and without one
+	windowThreads         = 2.0         // ceiling of a window, in threads a core
+	busyUtil              = 0.65        // above it a candidate counts as congested
+	overUtil              = 0.90        // above it a window is halved
+	reportPeriod          = time.Second // between steps of a window; a report is fresh so long
+
+	sweepEvery    = 50 * time.Millisecond
+	coldSafety    = 0.6                    // of a cold engine's budget, for slow machines and chance
+	coldMargin    = 500 * time.Millisecond // around the rule's times, for what is on its way
+	capacityShare = 0.85                   // of the cores, busy at capacity
+	learnRate     = 0.05
+
+	backoffFirst, backoffMost = 500 * time.Millisecond, 8 * time.Second // before a left engine is tried again
+
+	silentSLOs            = 0.6             // SLO times without news, where there are no notes
+	silentPaces           = 10.0            // times the usual run, which must have passed too
+	badPlan               = 4.0             // times the expected run that make an execution worth giving up
+	roomThreads           = 3.2             // threads a core that all routers together keep on an engine
+	partSpan              = 4 * time.Second // over which a router keeps its part of the fleet on average
+	crowdWeight           = 2.0             // that share at which the fleet's part is least, inverted
+	crowdMost             = 1.6             // statements a core, all routers' and what time-outs left
+	loadKnown             = 4               // notes' time that a load is held to go on after a note of it
+	askFirst, askMost     = 2, 4            // probes for a statement's candidates, and for wider choice
+	barredCost            = 1e6             // of a barred engine, in its score
+	leftLeast             = 0.05            // of a window, however many others hold
+	halfDone              = 0.5             // share done from which an execution gets the highest priority
+	paceStep              = 0.02            // of a workload's pace, up or down at each answer
+	chanceRoom            = 3.0             // of a share, in times its square root
+	lookedMost            = 8               // statements of a workload without room before a pass skips the rest
+	grantFirst, grantMost = 1.25, 3.0       // of the estimate of memory
+	grantUp, grantDown    = 0.04, 0.004     // of a workload's grants, at a spill and without one
 )
 
-// Names of the state, short.
 type (
 	workload  = state.Workload
 	engine    = state.Engine
@@ -81,51 +76,46 @@
 
 // Module is one instance. Instances share nothing.
 type Module struct {
-	me        decision.Identity
-	workloads []*workload
-	fleet     state.Fleet
-	stmts     map[decision.StatementID]*statement // not over yet
-	held      []*statement
-	traffic   state.Traffic // decayed counts of statements, by table group
-	shares    map[decision.MemberGroup]*state.Share
-	rules     decision.Rules
-	routers   float64
-	keys      state.KeyLines // lines of statements that keep their order
-	taken     span.Sum       // statements
-	further   span.Sum       // executions beyond each statement's first
-	opened    time.Duration  // when this instance started
-	heaviest  float64        // mean work of a workload, the largest
-	due       due.Times
-	armed     time.Duration // when the one timer comes, 0: not set
-	swept     time.Duration // last sweep
-	traits    decision.Engines
-	limits    decision.Limits
-	byProbe   bool          // reports come by probe alone
-	period    time.Duration // report period
-	chance    draw.Source
-	now       time.Duration
-	actions   []decision.Action
-	cores     float64    // of the engines in use, cold ones at what they can do
-	memory    float64    // of the same
-	credit    float64    // seconds for which twice the router's part of the fleet may be used
-	crowded   float64    // share of late reports that told of a full engine
-	meanMem   state.Mean // memory of an own execution that is out
-	lightest  float64    // highest importance for its work of a workload
-	stirred   bool       // what is held may find room that it did not find before
-	tried     int        // held statements that found no room since the last stir
+	me         decision.Identity
+	workloads  []*workload
+	fleet      state.Fleet
+	stmts      map[decision.StatementID]*statement // not over yet
+	held       []*statement
+	traffic    state.Traffic // decayed counts of statements, by table group
+	shares     map[decision.MemberGroup]*state.Share
+	overShare  float64 // of the importance, beyond a share
+	rules      decision.Rules
+	routers    float64
+	keys       state.KeyLines // lines of statements that keep their order
+	taken      span.Sum       // statements
+	further    span.Sum       // executions beyond each statement's first
+	opened     time.Duration  // when this instance started
+	heaviest   float64        // mean work of a workload, the largest
+	due        due.Times
+	armed      time.Duration // when the one timer comes, 0: not set
+	swept      time.Duration // last sweep
+	traits     decision.Engines
+	limits     decision.Limits
+	byProbe    bool // reports come by probe alone
+	chance     draw.Source
+	now        time.Duration
+	actions    []decision.Action
+	cores, mem float64 // of the engines in use, cold ones at what they can do
+	credit     float64 // seconds for which twice the router's part of the fleet may be used
+	crowded    float64 // share of late reports that told of a full engine
+	lightest   float64 // highest importance for its work of a workload
+	stirred    bool    // what is held may find room that it did not find before
+	tried      int     // held statements that found no room since the last stir
 }
 
 // New opens an instance; each argument is one part's settings.
 func New(me decision.Identity, workloads []decision.Workload, traits decision.Engines,
 	shares decision.Shares, limits decision.Limits, rules decision.Rules, reports decision.Reports) *Module {
-	m := &Module{me: me, stmts: map[decision.StatementID]*statement{}, traffic: state.Traffic{Decay: fanOutDecay},
-		shares: map[decision.MemberGroup]*state.Share{}, traits: traits, limits: limits, rules: rules, period: inlinePeriod,
-		routers: float64(max(1, me.Routers)), keys: state.KeyLines{}, opened: -1,
-		byProbe: reports.Path == decision.ReportsByProbe && limits.MayProbe,
-		chance:  draw.Source{Seed: me.Seed}, meanMem: state.Mean{Decay: mixDecay}}
-	if m.byProbe {
-		m.period = probeEvery
-	}
+	m := &Module{me: me, traits: traits, limits: limits, rules: rules, overShare: shares.OverImportance,
+		routers: float64(max(1, me.Routers)), byProbe: reports.Path == decision.ReportsByProbe && limits.MayProbe,
+		stmts: map[decision.StatementID]*statement{}, shares: map[decision.MemberGroup]*state.Share{},
+		keys: state.KeyLines{}, traffic: state.Traffic{Decay: fanOutDecay}, opened: -1,
+		chance: draw.Source{Seed: me.Seed}}
 	for i, w := range workloads {
 		w.Threads = max(1, w.Threads)
 		m.workloads = append(m.workloads, &workload{Workload: w, ID: decision.WorkloadID(i), Grant: grantFirst,
@@ -206,6 +196,7 @@
 	m.stmts[s.ID] = s
 	m.traffic.Count(s.Tables)
 	m.taken.Add(m.now, 1)
+	m.taken.Over(m.now - m.rules.FurtherWindow) // forgets what is older
 	if w.InOrder && ev.Key != "" {
 		s.Key = ev.Key
 		m.keys.Join(s)
@@ -254,8 +245,7 @@
 }
 
 // score is zone weight × (own in flight + 1) ÷ window × warmth cost. In flight counts the threads of all
-// workloads there, in units of this workload's, since they share the cores; what others are reported
-// to hold narrows the window. A barred engine scores past all others, and takes it when all are barred.
+// workloads in units of this one's, since they share cores; what others hold narrows the window.
 func (m *Module) score(e *engine, s *statement) float64 {
 	zone, warmth, w := farWeight, coldCost, e.Windows[s.Workload.ID]
 	if e.Zone == m.me.Zone {
@@ -264,7 +254,7 @@
 	if e.IsWarm(s.Tables) {
 		warmth = warmCost
 	}
-	if w.Barred {
+	if w.Barred { // comes last
 		warmth *= barredCost
 	}
 	inFlight := float64(e.Threads) / float64(s.Workload.Threads)
@@ -272,55 +262,48 @@
 	return zone * (inFlight + 1) / (w.Size * left) * warmth
 }
 
-// candidates takes K engines: warm ones first, then nearer zones, each by rendezvous hash.
-// A load takes the hash backwards: it would hold its table group where that is read.
+// candidates takes K engines: warm ones first, then nearer zones, each by rendezvous hash. A load would hold
+// its table group where that is read, and stand behind other loads: it takes half of the hash, backwards.
 func (m *Module) candidates(s *statement, ready []*engine) []*engine {
+	if s.Workload.Load {
+		slices.Reverse(ready)
+		return ready[:(len(ready)+1)/2]
+	}
 	var tiers [3][]*engine // warm, near, far
 	for _, e := range ready {
-		switch {
-		case s.Workload.Load:
-			tiers[2] = append(tiers[2], e)
-		case e.IsWarm(s.Tables):
-			tiers[0] = append(tiers[0], e)
-		case e.Zone == m.me.Zone:
-			tiers[1] = append(tiers[1], e)
-		default:
-			tiers[2] = append(tiers[2], e)
+		tier := 2
+		if e.IsWarm(s.Tables) {
+			tier = 0
+		} else if e.Zone == m.me.Zone {
+			tier = 1
 		}
+		tiers[tier] = append(tiers[tier], e)
 	}
 	step := (m.traffic.Total()/float64(len(ready)) + 1) / fanOutSlack
 	k := max(1, len(tiers[0]), int(m.traffic.Of(s.Tables)/step)+1)
-	if s.Workload.Load { // two on one engine would stand in line
-		slices.Reverse(tiers[2])
-		k = max(k, len(ready)/2)
-	}
 	return slices.Concat(tiers[:]...)[:min(k, fanOutMost, len(ready))]
 }
 
 // asked keeps the engines with a fresh report, where reports come by probe alone. If none of these is
-// free of congestion it probes a few, the statement's next choices; none: wait for their answers.
+// free of congestion it probes the statement's first few; none: wait for their answers.
 func (m *Module) asked(s *statement, engines []*engine, most int) (known []*engine) {
-	if m.now >= s.AskedAt+probeEvery {
-		s.Asks, s.AskedAt = 0, m.now
-	}
 	for _, e := range engines {
-		if m.now < e.Reported+probeEvery {
+		if m.now < e.Reported+reportPeriod {
 			if known = append(known, e); !m.congested(e, s.Workload) {
 				most = 0
 			}
 		}
 	}
-	first, wait := m.offset(s, len(engines)), false
-	for i := 0; most > 0 && i < len(engines); i++ {
+	first := m.offset(s, len(engines))
+	for i := range min(most, len(engines)) {
 		e := engines[(i+first)%len(engines)]
-		if fresh := m.now < e.Reported+probeEvery; !fresh && !m.probing(e) && s.Asks < most {
-			s.Asks++
-			m.probe(e)
+		if m.now < e.Reported+reportPeriod {
+			continue
+		}
+		if known = nil; !e.Probing || m.now >= e.ProbedAt+reportPeriod {
+			e.Probing, e.ProbedAt = true, m.now
+			m.do(decision.Probe{Engine: e.Engine})
 		}
-		wait = wait || m.probing(e)
-	}
-	if wait {
-		return nil
 	}
 	return known
 }
@@ -330,13 +313,6 @@
 	return int(draw.Rank("", uint64(s.Tables), uint64(m.me.Router)) % uint64(n))
 }
 
-func (m *Module) probing(e *engine) bool { return e.Probing && m.now < e.ProbedAt+probeEvery }
-
-func (m *Module) probe(e *engine) {
-	e.Probing, e.ProbedAt = true, m.now
-	m.do(decision.Probe{Engine: e.Engine})
-}
-
 // congested: full for this router, or reported busy.
 func (m *Module) congested(e *engine, w *workload) bool {
 	win := &e.Windows[w.ID]
@@ -372,8 +348,8 @@
 	if e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores || e.Queue >= 1 {
 		over = 1
 	}
-	m.crowded += crowdLearn * (over - m.crowded)
-	if m.now >= e.Stepped+m.period {
+	m.crowded += learnRate * (over - m.crowded)
+	if m.now >= e.Stepped+reportPeriod {
 		m.step(e, r.Known[decision.FieldUtilisation])
 	}
 }
@@ -399,7 +375,7 @@
 }
 
 func (m *Module) halve(w *window) {
-	if w.Halved == 0 || m.now >= w.Halved+m.period {
+	if w.Halved == 0 || m.now >= w.Halved+reportPeriod {
 		w.Halved, w.Size = m.now, max(1, w.Size/2)
 		w.Threshold = w.Size
 	}
@@ -410,7 +386,7 @@
 	m.halve(w)
 	w.Refusals++
 	w.Barred = true
-	m.due.At(m.now+m.period, func() { w.Barred = false })
+	m.due.At(m.now+reportPeriod, func() { w.Barred = false })
 }
 
 // firstWindows: the mean window of ready engines of the kind, or 1.
@@ -446,7 +422,8 @@
 // mayRepeat: no effect twice; what may have run goes again only where that is harmless.
 func (m *Module) mayRepeat(s *statement) bool {
 	w := s.Workload
-	return (m.limits.MaxExecutions == 0 || len(s.Execs) < m.limits.MaxExecutions) && (s.Home == nil || w.Effect == decision.Idempotent ||
+	most := cmp.Or(m.limits.MaxExecutions, math.MaxInt)
+	return len(s.Execs) < most && (s.Home == nil || w.Effect == decision.Idempotent ||
 		w.Effect == decision.Deduplicated && m.now < s.Home.Sent+w.DedupWindow)
 }
 
@@ -456,8 +433,7 @@
 		s.Workload.Effect == decision.Deduplicated && s.Workload.DedupScope == decision.ScopeAll
 }
 
-// furtherLeft: further executions stay within their budget in every window. A statement taken
-// just a window ago no longer counts, an execution sent then still does.
+// furtherLeft: a statement taken just a window ago no longer counts, an execution sent then still does.
 func (m *Module) furtherLeft(s *statement) bool {
 	window := m.rules.FurtherWindow
 	return window == 0 || len(s.Execs) == 0 ||
@@ -470,10 +446,9 @@
 	return s.Key == "" || k.Line[0] == s && (len(s.Execs) > 0 || k.Open == 0 && m.now >= k.RestUntil)
 }
 
-// coldLeft: all routers together may send a cold engine only so much work in any window, judged at the
-// capacity that a cold engine has at the very least. Cut among hundreds of routers that is less than a
-// statement each, so the rendezvous hash, which all can work out alone, names the few that may warm it.
-// A router that has just started does not know what it sent before, and waits for a window.
+// coldLeft: all routers together may send a cold engine only so much work in any window, judged at the least
+// that it can do. Cut among hundreds that is under a statement each, so a hash that all can work out names
+// the few that may warm it. A router that has just started has forgotten what it sent, and waits a window.
 func (m *Module) coldLeft(s *statement, e *engine) bool {
 	r := m.rules
 	if !m.isCold(e) {
@@ -495,8 +470,8 @@
 	if !m.isCold(e) {
 		return 1
 	}
-	cold := m.rules.ColdShare
-	return min(1, cold+(1-cold)*float64(m.now-e.StartedAt)/float64(max(1, m.rules.WarmAfter)))
+	age := float64(m.now-e.StartedAt) / float64(max(1, m.rules.WarmAfter))
+	return min(1, m.rules.ColdShare+(1-m.rules.ColdShare)*age)
 }
 
 // ---- 2. The clock: what ends a statement, and the periodic work ----
@@ -535,29 +510,26 @@
 
 // sweep is the periodic work: silent engines, lost ones, windows without reports, the router's part.
 func (m *Module) sweep() {
-	m.cores, m.memory = 0, 0
+	m.cores, m.mem = 0, 0
 	for _, e := range m.fleet.All {
 		if !e.Listed || e.State != decision.Ready {
 			continue
 		}
 		m.watch(e)
-		if m.now >= e.Stepped+3*m.period { // reports are missing: own sights stand in
+		if m.now >= e.Stepped+3*reportPeriod { // reports are missing: own sights stand in
 			e.UtilKnown, e.Queue, e.Others = false, 0, 0
 			m.step(e, false)
 		}
-		m.meanMem.Add(e.MemOut, float64(len(e.Execs)))
 		if share := m.warmth(e); !e.Lost && (!e.Left || m.now >= e.LeftUntil) {
-			m.cores, m.memory = m.cores+share*e.Cores, m.memory+share*e.MemoryMB
+			m.cores, m.mem = m.cores+share*e.Cores, m.mem+share*e.MemoryMB
 		}
 	}
-	m.meanMem.Fade()
 	m.heaviest, m.lightest = 0, 0
 	for _, w := range m.workloads {
 		m.heaviest, m.lightest = max(m.heaviest, w.Work), max(m.lightest, w.Importance/w.Work)
 	}
-	span := partSpan.Seconds()
 	m.credit += (1 - m.partUsed(math.Inf(1), 0, 0)) * (m.now - m.swept).Seconds()
-	m.credit = min(max(m.credit, -span), span)
+	m.credit = min(max(m.credit, -partSpan.Seconds()), partSpan.Seconds())
 	m.swept, m.stirred = m.now, true
 }
 
@@ -601,8 +573,7 @@
 	}
 }
 
-// back takes an engine in again. One whose connections failed may have started anew before the
-// list says so: it counts as cold and holds nothing warm.
+// back takes an engine in again. One that was lost may have started anew before the list says so.
 func (m *Module) back(e *engine) {
 	if e.Lost {
 		e.StartedAt, e.Warm = max(e.StartedAt, m.now), nil
@@ -610,12 +581,11 @@
 	e.Left, e.Lost, e.Backoff, e.LastNews = false, false, 0, m.now
 }
 
-// watch finds engines that took work and tell nothing of it, and saves what is stuck there. Without
-// notes a silence tells little: statements may stand still behind another router's load.
+// watch finds engines that took work and tell nothing of it, and saves what is stuck there.
 func (m *Module) watch(e *engine) {
 	for _, x := range e.Execs {
-		patience := max(time.Duration(silentSLOs*float64(x.Stmt.Workload.Allowance(x.Stmt.Run))),
-			time.Duration(silentPaces*x.Stmt.Workload.Pace*float64(x.Stmt.Run)))
+		w, run := x.Stmt.Workload, float64(x.Stmt.Run)
+		patience := time.Duration(max(silentSLOs*float64(w.Allowance(x.Stmt.Run)), silentPaces*w.Pace*run))
 		if m.traits.ProgressEvery > 0 {
 			patience = 2 * (m.traits.ProgressEvery + sweepEvery) // for a note to arrive
 		}
@@ -632,11 +602,9 @@
 		return
 	}
 	e.Probing = false
-	m.report(e, ev.Report)
-	switch {
-	case ev.Outcome == decision.NotConnected:
+	if m.report(e, ev.Report); ev.Outcome == decision.NotConnected {
 		m.leave(e, true)
-	case ev.Outcome == decision.TimedOut: // too busy to answer a probe: as good as full
+	} else if ev.Outcome == decision.TimedOut { // too busy to answer a probe: as good as full
 		e.Reported, e.Others = m.now, crowdMost*e.Cores
 	}
 }
@@ -660,7 +628,7 @@
 		}
 		x.Spilled = true
 	case decision.NoteWaits: // another router's load holds its tables there: others keep off for a while
-		if ev.Value == waitsForLoad {
+		if ev.Value == decision.WaitsForLoad {
 			x.Engine.LoadedUntil[s.Tables] = m.now + loadKnown*m.traits.ProgressEvery
 			m.rescue(x)
 		}
@@ -689,16 +657,12 @@
 
 // ended takes the one outcome of an execution.
 func (m *Module) ended(ev decision.ExecutionEnded) {
-	e := m.fleet.Of(ev.Engine)
-	if e == nil {
-		return
-	}
-	x := e.Release(ev.Statement, ev.Execution, ev.Outcome == decision.Full ||
+	x := m.fleet.Release(ev.Engine, ev.Statement, ev.Execution, ev.Outcome == decision.Full ||
 		ev.Outcome == decision.NotConnected || ev.Outcome == decision.NeverSent)
 	if x == nil {
 		return
 	}
-	s, w := x.Stmt, &e.Windows[x.Stmt.Workload.ID]
+	s, e, w := x.Stmt, x.Engine, &x.Engine.Windows[x.Stmt.Workload.ID]
 	if s.Key != "" { // after some outcomes it may still run: the key rests, then the next may go
 		rest := m.now
 		if ev.Outcome == decision.TimedOut || ev.Outcome == decision.Reset || ev.Outcome == decision.Cancelled {
@@ -747,26 +711,20 @@
 
 // ---- 5. Holding and shedding ----
 
-// hasRoom: this router's part of an engine's threads and memory is not used up, and no load holds
-// the table group there for a statement that would stand still behind it.
+// hasRoom: this router's part of an engine is not used up, and no load there would hold the statement up.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
 	limit := roomThreads * e.Cores / math.Pow(m.routers, 0.75) * m.warmth(e)
 	if float64(e.Threads) >= limit || e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores ||
 		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.routers {
 		return false
 	}
-	// What others hold there is held to need what own statements need on average.
-	if others := e.Others * m.meanMem.Value(); e.MemoryMB > 0 && others > 0 && others+e.MemOut+m.need(s) > e.MemoryMB {
-		return false
-	}
 	loaded := func(x *execution) bool { return x.Stmt.Workload.Load && x.Stmt.Tables == s.Tables }
 	return !s.Workload.WaitsForLoads && !s.Workload.Load ||
 		m.now >= e.LoadedUntil[s.Tables] && !slices.ContainsFunc(e.Execs, loaded)
 }
 
-// hasPart: this router's part of the whole fleet's threads and memory is not used up. Each engine's part
-// may be less than one statement; over the fleet it is some, kept on average over partSpan, since few
-// statements vary much. What is heavier does not hold up what is lighter.
+// hasPart: this router's part of the whole fleet's threads and memory is not used up, on average over
+// partSpan, since few statements vary much. What is heavier does not hold up what is lighter.
 func (m *Module) hasPart(s *statement) bool {
 	threads, need := float64(s.Workload.Threads), m.need(s)
 	if m.now > latestStart(s) { // what is late already takes only what nobody else needs
@@ -775,8 +733,7 @@
 	return m.credit > 0 || m.partUsed(s.Workload.Work, threads, need) <= 1
 }
 
-// partUsed is the share of this router's part that workloads up to a mean work use, and a little more. The
-// part falls with the share of reports that tell of full engines.
+// partUsed is the share of its part, less as reports tell of full engines, that workloads up to a work use.
 func (m *Module) partUsed(work, threads, mem float64) float64 {
 	for _, w := range m.workloads {
 		if w.Work <= work {
@@ -784,25 +741,15 @@
 		}
 	}
 	room := roomThreads - (roomThreads-windowThreads)*min(1, crowdWeight*m.crowded)
-	return m.routers * max(threads/max(1, room*m.cores), mem/cmp.Or(m.memory, math.Inf(1)))
+	return m.routers * max(threads/max(1, room*m.cores), mem/cmp.Or(m.mem, math.Inf(1)))
 }
 
-// dispatch sends what is held, most urgent first: by the latest start that meets the SLO time;
-// what is late comes after that, and what is beyond its share last.
+// dispatch sends what is held, by what an answer still counts for its work.
 func (m *Module) dispatch() {
-	tier := func(s *statement) int {
-		switch {
-		case s.OverShare:
-			return 2
-		case m.now > latestStart(s):
-			return 1
-		}
-		return 0
-	}
 	if m.stirred { // else only what has just come is looked at
 		m.tried, m.stirred = 0, false
 		slices.SortStableFunc(m.held, func(a, b *statement) int {
-			return cmp.Or(cmp.Compare(tier(a), tier(b)), cmp.Compare(density(b), density(a)))
+			return cmp.Compare(m.value(b), m.value(a))
 		})
 	}
 	looked := make([]int, len(m.workloads))
@@ -847,7 +794,7 @@
 	if m.traits.Grants {
 		t.GrantMB = int64(math.Ceil(m.need(s)))
 	}
-	if m.traits.Priorities && density(s) > m.lightest/2 {
+	if m.traits.Priorities && m.value(s) > m.lightest/2 {
 		t.Priority = 3
 	}
 	if t != s.Terms && (t.GrantMB > 0 || t.Priority != 1) {
@@ -861,9 +808,16 @@
 	return s.SLODue - time.Duration(s.Workload.Pace*float64(s.Run))
 }
 
-// density is a statement's importance for its work.
-func density(s *statement) float64 {
-	return s.Workload.Importance / max(0.001, s.Run.Seconds()*float64(s.Workload.Threads))
+// value is what an answer still counts for its work: less when it will be late or is beyond a share.
+func (m *Module) value(s *statement) float64 {
+	v := s.Workload.Importance / max(0.001, s.Run.Seconds()*float64(s.Workload.Threads))
+	if m.now > latestStart(s) {
+		v *= s.Workload.LateShare
+	}
+	if s.OverShare {
+		v *= m.overShare
+	}
+	return v
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -58,7 +58,7 @@
 		b.m.refused(w)
 		assert.Equal(t, 4.0, w.Size)
 		assert.True(t, w.Barred)
-		b.at(time.Second + inlinePeriod)
+		b.at(time.Second + reportPeriod)
 		assert.False(t, w.Barred)
 	})
 	t.Run("a new engine starts at the mean of its kind", func(t *testing.T) {
@@ -408,7 +408,7 @@
 		b.traits.ProgressEvery = 500 * ms
 		b.wlms[0].SLO = 3 * time.Second
 		e := b.at(0, ready("a", "b"), read("s")).sentTo()
-		b.at(500*ms, note("s", e, decision.NoteWaits, waitsForLoad))
+		b.at(500*ms, note("s", e, decision.NoteWaits, decision.WaitsForLoad))
 		require.Len(t, pick[decision.Cancel](b), 1)
 		assert.NotEqual(t, e, b.at(501*ms, read("s2")).sentTo(), "the group it waits for")
 		other := read("s3")
