--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,7 +61,7 @@
 	halfDone              = 0.5             // share done from which an execution gets the highest priority
 	paceStep              = 0.02            // of a workload's pace, up or down at each answer
 	chanceRoom            = 3.0             // of a share, in times its square root
-	lookedMost            = 8               // statements of a workload without room before a pass skips the rest
+	lookedMost            = 4               // statements of a workload without room before a pass skips the rest
 	grantFirst, grantMost = 1.25, 3.0       // of the estimate of memory
 	grantUp, grantDown    = 0.04, 0.004     // of a workload's grants, at a spill and without one
 )
@@ -210,7 +210,7 @@
 // route picks the engine for a statement's next execution, or nil to hold it.
 func (m *Module) route(s *statement) *engine {
 	// The rules first, then health: no other engine is looked at.
-	var ready []*engine
+	ready := make([]*engine, 0, len(m.fleet.All))
 	for _, e := range m.fleet.Ranked(s.Tables) {
 		if m.allows(s, e) && m.usable(e, s) {
 			ready = append(ready, e)
@@ -269,19 +269,19 @@
 		slices.Reverse(ready)
 		return ready[:(len(ready)+1)/2]
 	}
-	var tiers [3][]*engine // warm, near, far
+	warm, near, far := 0, make([]*engine, 0, len(ready)), []*engine(nil)
 	for _, e := range ready {
-		tier := 2
 		if e.IsWarm(s.Tables) {
-			tier = 0
+			near, warm = slices.Insert(near, warm, e), warm+1
 		} else if e.Zone == m.me.Zone {
-			tier = 1
+			near = append(near, e)
+		} else {
+			far = append(far, e)
 		}
-		tiers[tier] = append(tiers[tier], e)
 	}
 	step := (m.traffic.Total()/float64(len(ready)) + 1) / fanOutSlack
-	k := max(1, len(tiers[0]), int(m.traffic.Of(s.Tables)/step)+1)
-	return slices.Concat(tiers[:]...)[:min(k, fanOutMost, len(ready))]
+	k := max(1, warm, int(m.traffic.Of(s.Tables)/step)+1)
+	return append(near, far...)[:min(k, fanOutMost, len(ready))]
 }
 
 // asked keeps the engines with a fresh report, where reports come by probe alone. If none of these is
@@ -294,7 +294,7 @@
 			}
 		}
 	}
-	first := m.offset(s, len(engines))
+	first := m.offset(s, len(engines)) + int(m.now/reportPeriod)*most // a second later, the next few
 	for i := range min(most, len(engines)) {
 		e := engines[(i+first)%len(engines)]
 		if m.now < e.Reported+reportPeriod {
