--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,6 +51,7 @@
 	silentPaces           = 10.0            // times the usual run, which must have passed too
 	badPlan               = 4.0             // times the expected run that make an execution worth giving up
 	roomThreads           = 3.2             // threads a core that all routers together keep on an engine
+	mixDecay              = 0.995           // a sweep
 	partSpan              = 4 * time.Second // over which a router keeps its part of the fleet on average
 	crowdWeight           = 2.0             // that share at which the fleet's part is least, inverted
 	crowdMost             = 1.6             // statements a core, all routers' and what time-outs left
@@ -76,36 +77,37 @@
 
 // Module is one instance. Instances share nothing.
 type Module struct {
-	me         decision.Identity
-	workloads  []*workload
-	fleet      state.Fleet
-	stmts      map[decision.StatementID]*statement // not over yet
-	held       []*statement
-	traffic    state.Traffic // decayed counts of statements, by table group
-	shares     map[decision.MemberGroup]*state.Share
-	overShare  float64 // of the importance, beyond a share
-	rules      decision.Rules
-	routers    float64
-	keys       state.KeyLines // lines of statements that keep their order
-	taken      span.Sum       // statements
-	further    span.Sum       // executions beyond each statement's first
-	opened     time.Duration  // when this instance started
-	heaviest   float64        // mean work of a workload, the largest
-	due        due.Times
-	armed      time.Duration // when the one timer comes, 0: not set
-	swept      time.Duration // last sweep
-	traits     decision.Engines
-	limits     decision.Limits
-	byProbe    bool // reports come by probe alone
-	chance     draw.Source
-	now        time.Duration
-	actions    []decision.Action
-	cores, mem float64 // of the engines in use, cold ones at what they can do
-	credit     float64 // seconds for which twice the router's part of the fleet may be used
-	crowded    float64 // share of late reports that told of a full engine
-	lightest   float64 // highest importance for its work of a workload
-	stirred    bool    // what is held may find room that it did not find before
-	tried      int     // held statements that found no room since the last stir
+	me          decision.Identity
+	workloads   []*workload
+	fleet       state.Fleet
+	stmts       map[decision.StatementID]*statement // not over yet
+	held        []*statement
+	traffic     state.Traffic // decayed counts of statements, by table group
+	shares      map[decision.MemberGroup]*state.Share
+	overShare   float64 // of the importance, beyond a share
+	rules       decision.Rules
+	routers     float64
+	keys        state.KeyLines // lines of statements that keep their order
+	taken       span.Sum       // statements
+	further     span.Sum       // executions beyond each statement's first
+	opened      time.Duration  // when this instance started
+	heaviest    float64        // mean work of a workload, the largest
+	due         due.Times
+	armed       time.Duration // when the one timer comes, 0: not set
+	swept       time.Duration // last sweep
+	traits      decision.Engines
+	limits      decision.Limits
+	byProbe     bool // reports come by probe alone
+	chance      draw.Source
+	now         time.Duration
+	actions     []decision.Action
+	cores, mem  float64 // of the engines in use, cold ones at what they can do
+	credit      float64 // seconds for which twice the router's part of the fleet may be used
+	out, outMem float64 // own executions that were out lately, and their memory
+	crowded     float64 // share of late reports that told of a full engine
+	lightest    float64 // highest importance for its work of a workload
+	stirred     bool    // what is held may find room that it did not find before
+	tried       int     // held statements that found no room since the last stir
 }
 
 // New opens an instance; each argument is one part's settings.
@@ -510,7 +512,7 @@
 
 // sweep is the periodic work: silent engines, lost ones, windows without reports, the router's part.
 func (m *Module) sweep() {
-	m.cores, m.mem = 0, 0
+	m.cores, m.mem, m.out, m.outMem = 0, 0, m.out*mixDecay, m.outMem*mixDecay
 	for _, e := range m.fleet.All {
 		if !e.Listed || e.State != decision.Ready {
 			continue
@@ -520,6 +522,7 @@
 			e.UtilKnown, e.Queue, e.Others = false, 0, 0
 			m.step(e, false)
 		}
+		m.out, m.outMem = m.out+float64(len(e.Execs)), m.outMem+e.MemOut
 		if share := m.warmth(e); !e.Lost && (!e.Left || m.now >= e.LeftUntil) {
 			m.cores, m.mem = m.cores+share*e.Cores, m.mem+share*e.MemoryMB
 		}
@@ -718,6 +721,10 @@
 		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.routers {
 		return false
 	}
+	// What others hold there is held to need what own statements need on average.
+	if others := e.Others * m.outMem / max(1, m.out); others > 0 && others+e.MemOut+m.need(s) > e.MemoryMB {
+		return false
+	}
 	loaded := func(x *execution) bool { return x.Stmt.Workload.Load && x.Stmt.Tables == s.Tables }
 	return !s.Workload.WaitsForLoads && !s.Workload.Load ||
 		m.now >= e.LoadedUntil[s.Tables] && !slices.ContainsFunc(e.Execs, loaded)
