--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -265,7 +265,6 @@
 	Execs          []*Execution
 	Open           int        // executions without an outcome
 	Home           *Execution // the first that may have run
-	Avoid          *Engine    // where it went wrong last
 	Terms          decision.SetTerms
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -218,9 +218,6 @@
 			ready = append(ready, e)
 		}
 	}
-	if len(ready) > 1 { // not again where it just went wrong, if there is another
-		ready = slices.DeleteFunc(ready, func(e *engine) bool { return e == s.Avoid })
-	}
 	if len(ready) == 0 {
 		return nil
 	}
@@ -654,7 +651,7 @@
 		return
 	}
 	if m.cancel(x); !x.Cancelled && m.limits.SecondCopies && s.Open == 1 && !slices.Contains(m.held, s) {
-		s.Avoid, m.held = x.Engine, append(m.held, s) // no cancel here, but a second copy
+		m.held = append(m.held, s) // no cancel here, but a second copy
 	}
 }
 
@@ -681,11 +678,8 @@
 		if m.now-x.Sent > s.Workload.Allowance(s.Run)/2 {
 			w.Late++
 		}
-		if pace := &s.Workload.Pace; float64(m.now-x.Sent) > *pace*float64(s.Run) { // tracks the median
-			*pace *= 1 + paceStep
-		} else {
-			*pace /= 1 + paceStep
-		}
+		pace := &s.Workload.Pace // tracks the median
+		*pace *= 1 + math.Copysign(paceStep, float64(m.now-x.Sent)-*pace*float64(s.Run))
 		if ev.Outcome == decision.Completed && !x.Spilled {
 			s.Workload.Grant = max(1, s.Workload.Grant*(1-grantDown))
 		}
@@ -705,7 +699,6 @@
 		m.finish(s)
 	case s.Open > 0:
 	case m.now < s.End-2*m.me.Tick && m.mayRepeat(s):
-		s.Avoid = e
 		m.held = append(m.held, s)
 	default:
 		m.giveUp(s)
@@ -722,7 +715,8 @@
 		return false
 	}
 	// What others hold there is held to need what own statements need on average.
-	if others := e.Others * m.outMem / max(1, m.out); others > 0 && others+e.MemOut+m.need(s) > e.MemoryMB {
+	others := e.Others * m.outMem / max(1, m.out)
+	if e.MemoryMB > 0 && others > 0 && others+e.MemOut+m.need(s) > e.MemoryMB {
 		return false
 	}
 	loaded := func(x *execution) bool { return x.Stmt.Workload.Load && x.Stmt.Tables == s.Tables }
@@ -766,13 +760,10 @@
 		if s.Open == 0 && (m.now > lastStart || w.LateShare == 0 && m.now > (s.SLODue+latestStart(s))/2) {
 			m.giveUp(s) // no answer in time, or none that still counts
 		}
-		if s.Done || looked[w.ID] >= lookedMost || !m.inTurn(s) {
+		if s.Done || looked[w.ID] >= lookedMost || !m.inTurn(s) || !m.hasPart(s) {
 			return s.Done
 		}
-		var e *engine
-		if m.hasPart(s) {
-			e = m.route(s)
-		}
+		e := m.route(s)
 		if e == nil {
 			looked[w.ID]++
 			return false
