--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -265,6 +265,7 @@
 	Execs          []*Execution
 	Open           int        // executions without an outcome
 	Home           *Execution // the first that may have run
+	Avoid          *Engine    // where it went wrong last
 	Terms          decision.SetTerms
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -253,7 +253,7 @@
 	if e.IsWarm(s.Tables) {
 		warmth = warmCost
 	}
-	if w.Barred { // comes last
+	if w.Barred || e == s.Avoid { // comes last
 		warmth *= barredCost
 	}
 	inFlight := float64(e.Threads) / float64(s.Workload.Threads)
@@ -651,7 +651,7 @@
 		return
 	}
 	if m.cancel(x); !x.Cancelled && m.limits.SecondCopies && s.Open == 1 && !slices.Contains(m.held, s) {
-		m.held = append(m.held, s) // no cancel here, but a second copy
+		s.Avoid, m.held = x.Engine, append(m.held, s) // no cancel here, but a second copy
 	}
 }
 
@@ -699,6 +699,7 @@
 		m.finish(s)
 	case s.Open > 0:
 	case m.now < s.End-2*m.me.Tick && m.mayRepeat(s):
+		s.Avoid = e
 		m.held = append(m.held, s)
 	default:
 		m.giveUp(s)
