--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,7 +31,7 @@
 	nearWeight, farWeight = 8.0, 11.0 // zone weight
 	warmCost, coldCost    = 1.0, 2.0  // warmth cost
 	warmGroups            = 4         // table groups sent last that count as warm on an engine
-	fanOutSlack           = 4.0       // candidates over a table group's even part of the engines
+	fanOutSlack           = 8.0       // candidates over a table group's even part of the engines
 	fanOutDecay           = 0.999     // of the table groups' counts, at each statement
 	fanOutMost            = 32
 	windowThreads         = 2.0         // ceiling of a window, in threads a core
@@ -222,8 +222,7 @@
 		return nil
 	}
 	// Candidates: warm engines, then nearer zones, by rendezvous hash; all when these are congested.
-	candidates, home := m.candidates(s, ready)
-	most := askFirst
+	candidates, most := m.candidates(s, ready), askFirst
 	if !slices.ContainsFunc(candidates, func(e *engine) bool { return !m.congested(e, s.Workload) }) {
 		candidates, most = ready, askMost
 	}
@@ -237,7 +236,7 @@
 	lowest, first := math.Inf(1), m.offset(s, len(candidates))
 	for i := range candidates {
 		e := candidates[(i+first)%len(candidates)]
-		if score := m.score(e, s, home); score < lowest && m.hasRoom(e, s) {
+		if score := m.score(e, s); score < lowest && m.hasRoom(e, s) {
 			best, lowest = e, score
 		}
 	}
@@ -246,12 +245,12 @@
 
 // score is zone weight × (own in flight + 1) ÷ window × warmth cost. In flight counts the threads of all
 // workloads in units of this one's, since they share cores; what others hold narrows the window.
-func (m *Module) score(e *engine, s *statement, home []*engine) float64 {
+func (m *Module) score(e *engine, s *statement) float64 {
 	zone, warmth, w := farWeight, coldCost, e.Windows[s.Workload.ID]
 	if e.Zone == m.me.Zone {
 		zone = nearWeight
 	}
-	if e.IsWarm(s.Tables) || slices.Contains(home, e) { // where it ranks first, other routers send it too
+	if e.IsWarm(s.Tables) {
 		warmth = warmCost
 	}
 	if w.Barred || e == s.Avoid { // comes last
@@ -264,10 +263,10 @@
 
 // candidates takes K engines: warm ones first, then nearer zones, each by rendezvous hash. A load would hold
 // its table group where that is read, and stand behind other loads: it takes half of the hash, backwards.
-func (m *Module) candidates(s *statement, ready []*engine) (candidates, home []*engine) {
+func (m *Module) candidates(s *statement, ready []*engine) []*engine {
 	if s.Workload.Load {
 		slices.Reverse(ready)
-		return ready[:(len(ready)+1)/2], nil
+		return ready[:(len(ready)+1)/2]
 	}
 	warm, near, far := 0, make([]*engine, 0, len(ready)), []*engine(nil)
 	for _, e := range ready {
@@ -281,8 +280,7 @@
 	}
 	step := (m.traffic.Total()/float64(len(ready)) + 1) / fanOutSlack
 	k := max(1, warm, int(m.traffic.Of(s.Tables)/step)+1)
-	k = min(k, fanOutMost, len(ready))
-	return append(near, far...)[:k], ready[:k]
+	return append(near, far...)[:min(k, fanOutMost, len(ready))]
 }
 
 // asked keeps the engines with a fresh report, where reports come by probe alone. If none of these is
@@ -295,12 +293,13 @@
 			}
 		}
 	}
-	for i := 0; i < len(engines) && most > 0; i++ {
-		e := engines[(i+m.offset(s, askFirst))%len(engines)]
+	first := m.offset(s, len(engines)) + int(m.now/reportPeriod)*most // a second later, the next few
+	for i := range min(most, len(engines)) {
+		e := engines[(i+first)%len(engines)]
 		if m.now < e.Reported+reportPeriod {
 			continue
 		}
-		if known, most = nil, most-1; !e.Probing || m.now >= e.ProbedAt+reportPeriod {
+		if known = nil; !e.Probing || m.now >= e.ProbedAt+reportPeriod {
 			e.Probing, e.ProbedAt = true, m.now
 			m.do(decision.Probe{Engine: e.Engine})
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -90,28 +90,25 @@
 			if c.warm {
 				e.Touch(7, warmGroups)
 			}
-			assert.Equal(t, c.want, b.m.score(e, s, nil))
+			assert.Equal(t, c.want, b.m.score(e, s))
 		})
 	}
 	t.Run("candidates", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a", "b", "c", "d"))
 		s := &statement{Workload: b.m.workloads[0], Tables: 7}
-		first, _ := b.m.candidates(s, b.m.fleet.All)
+		first := slices.Clone(b.m.candidates(s, b.m.fleet.All))
 		require.Len(t, first, 1)
 		other := b.m.fleet.All[0]
 		if other == first[0] {
 			other = b.m.fleet.All[1]
 		}
 		other.Touch(7, warmGroups)
-		warm, _ := b.m.candidates(s, b.m.fleet.All)
-		assert.Equal(t, []*engine{other}, warm, "a warm engine comes first")
+		assert.Equal(t, []*engine{other}, b.m.candidates(s, b.m.fleet.All), "a warm engine comes first")
 		b.m.traffic.Count(7)
-		wide, _ := b.m.candidates(s, b.m.fleet.All)
-		assert.Equal(t, []*engine{other, first[0]}, wide[:2], "traffic widens the row")
+		assert.Equal(t, []*engine{other, first[0]}, b.m.candidates(s, b.m.fleet.All)[:2], "traffic widens the row")
 		load := &statement{Workload: b.m.workloads[1], Tables: 7}
 		b.m.traffic = state.Traffic{}
-		far, _ := b.m.candidates(load, b.m.fleet.All)
-		assert.NotEqual(t, first, far, "a load stays off where its tables are read")
+		assert.NotEqual(t, first, b.m.candidates(load, b.m.fleet.All), "a load stays off where its tables are read")
 	})
 	t.Run("a barred engine takes it only when all are barred", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a", "b"))
