--- a/policy/policy.go
+++ b/policy/policy.go
@@ -108,6 +108,7 @@
 	lightest    float64 // highest importance for its work of a workload
 	stirred     bool    // what is held may find room that it did not find before
 	tried       int     // held statements that found no room since the last stir
+	asks        float64 // probes that may still be sent
 }
 
 // New opens an instance; each argument is one part's settings.
@@ -197,6 +198,7 @@
 	s.SLODue = m.now + w.Allowance(s.Run)
 	m.stmts[s.ID] = s
 	m.traffic.Count(s.Tables)
+	m.asks = min(m.asks+askFirst, askMost*askMost) // probes follow the statements
 	m.taken.Add(m.now, 1)
 	m.taken.Over(m.now - m.rules.FurtherWindow) // forgets what is older
 	if w.InOrder && ev.Key != "" {
@@ -296,13 +298,14 @@
 	first := m.offset(s, len(engines)) + int(m.now/reportPeriod)*most // a second later, the next few
 	for i := range min(most, len(engines)) {
 		e := engines[(i+first)%len(engines)]
-		if m.now < e.Reported+reportPeriod {
-			continue
-		}
-		if known = nil; !e.Probing || m.now >= e.ProbedAt+reportPeriod {
-			e.Probing, e.ProbedAt = true, m.now
+		waiting := e.Probing && m.now < e.ProbedAt+reportPeriod
+		if ask := !waiting && m.now >= e.Reported+reportPeriod && m.asks >= 1; ask {
+			e.Probing, e.ProbedAt, m.asks, waiting = true, m.now, m.asks-1, true
 			m.do(decision.Probe{Engine: e.Engine})
 		}
+		if waiting {
+			known = nil
+		}
 	}
 	return known
 }
