Heavy statements leave a fifth of an engine's room to light ones

It should help in any loss of engines and any overload; it could harm where no statement is light and a fifth of the room stays empty.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,6 +52,7 @@
 	badPlan               = 4.0             // times the expected run that make an execution worth giving up
 	roomThreads           = 3.2             // threads a core that all routers together keep on an engine
 	mixDecay              = 0.995           // a sweep
+	heavyPart             = 0.8             // of an engine's room, for what is not light for its importance
 	partSpan              = 4 * time.Second // over which a router keeps its part of the fleet on average
 	crowdWeight           = 2.0             // that share at which the fleet's part is least, inverted
 	crowdMost             = 1.6             // statements a core, all routers' and what time-outs left
@@ -713,14 +714,16 @@
 
 // hasRoom: this router's part of an engine is not used up, and no load there would hold the statement up.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
-	limit := roomThreads * e.Cores / math.Pow(m.routers, 0.75) * m.warmth(e)
-	if float64(e.Threads) >= limit || e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores ||
-		e.MemoryMB > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.routers {
-		return false
-	}
-	// What others hold there is held to need what own statements need on average.
-	others := e.Others * m.outMem / max(1, m.out)
-	if e.MemoryMB > 0 && others > 0 && others+e.MemOut+m.need(s) > e.MemoryMB {
+	part := 1.0
+	if !m.isLight(s) { // leaves some to what is light, from whichever router
+		part = heavyPart
+	}
+	own, mem := float64(len(e.Execs)), part*e.MemoryMB
+	others := e.Others * m.outMem / max(1, m.out) // memory of what others hold, as own statements need on average
+	if float64(e.Threads) >= part*roomThreads*e.Cores/math.Pow(m.routers, 0.75)*m.warmth(e) ||
+		e.Others+own >= part*crowdMost*e.Cores ||
+		mem > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > mem/m.routers ||
+		mem > 0 && others > 0 && others+e.MemOut+m.need(s) > mem {
 		return false
 	}
 	loaded := func(x *execution) bool { return x.Stmt.Workload.Load && x.Stmt.Tables == s.Tables }
@@ -796,7 +799,7 @@
 	if m.traits.Grants {
 		t.GrantMB = int64(math.Ceil(m.need(s)))
 	}
-	if m.traits.Priorities && m.value(s) > m.lightest/2 {
+	if m.traits.Priorities && m.isLight(s) {
 		t.Priority = 3
 	}
 	if t != s.Terms && (t.GrantMB > 0 || t.Priority != 1) {
@@ -810,6 +813,9 @@
 	return s.SLODue - time.Duration(s.Workload.Pace*float64(s.Run))
 }
 
+// isLight: its answer counts much for its work.
+func (m *Module) isLight(s *statement) bool { return m.value(s) > m.lightest/2 }
+
 // value is what an answer still counts for its work: less when it will be late or is beyond a share.
 func (m *Module) value(s *statement) float64 {
 	v := s.Workload.Importance / max(0.001, s.Run.Seconds()*float64(s.Workload.Threads))
