What other routers hold counts double for heavy statements

Cause: a single router orders its own statements and need not leave room empty; only the race with other routers' heavy work needs it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,7 +52,7 @@
 	badPlan               = 4.0             // times the expected run that make an execution worth giving up
 	roomThreads           = 3.2             // threads a core that all routers together keep on an engine
 	mixDecay              = 0.995           // a sweep
-	heavyPart             = 0.5             // of an engine's room, for what is not light for its importance
+	heavySight            = 2.0             // of what others hold, for what is not light for its importance
 	partSpan              = 4 * time.Second // over which a router keeps its part of the fleet on average
 	crowdWeight           = 2.0             // that share at which the fleet's part is least, inverted
 	crowdMost             = 1.6             // statements a core, all routers' and what time-outs left
@@ -714,16 +714,14 @@
 
 // hasRoom: this router's part of an engine is not used up, and no load there would hold the statement up.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
-	part := 1.0
-	if !m.isLight(s) { // leaves some to what is light, from whichever router
-		part = heavyPart
-	}
-	own, mem := float64(len(e.Execs)), part*e.MemoryMB
-	others := e.Others * m.outMem / max(1, m.out) // memory of what others hold, as own statements need on average
-	if float64(e.Threads) >= part*roomThreads*e.Cores/math.Pow(m.routers, 0.75)*m.warmth(e) ||
-		e.Others+own >= part*crowdMost*e.Cores ||
-		mem > 0 && e.MemOut > 0 && e.MemOut+m.need(s) > mem/m.routers ||
-		mem > 0 && others > 0 && others+e.MemOut+m.need(s) > mem {
+	others := e.Others
+	if !m.isLight(s) { // leaves room to what is light, from whichever router
+		others *= heavySight
+	}
+	memory := others*m.outMem/max(1, m.out) + e.MemOut + m.need(s) // others' statements need as own ones do
+	if float64(e.Threads) >= roomThreads*e.Cores/math.Pow(m.routers, 0.75)*m.warmth(e) ||
+		others+float64(len(e.Execs)) >= crowdMost*e.Cores || e.MemoryMB > 0 &&
+		(others > 0 && memory > e.MemoryMB || e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.routers) {
 		return false
 	}
 	loaded := func(x *execution) bool { return x.Stmt.Workload.Load && x.Stmt.Tables == s.Tables }
