--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,7 +52,7 @@
 	badPlan               = 4.0             // times the expected run that make an execution worth giving up
 	roomThreads           = 3.2             // threads a core that all routers together keep on an engine
 	mixDecay              = 0.995           // a sweep
-	heavySight            = 2.0             // of what others hold, for what is not light for its importance
+	heavySight            = 3.0             // of what others hold, for what is not light for its importance
 	partSpan              = 4 * time.Second // over which a router keeps its part of the fleet on average
 	crowdWeight           = 2.0             // that share at which the fleet's part is least, inverted
 	crowdMost             = 1.6             // statements a core, all routers' and what time-outs left
