--- a/policy/policy.go
+++ b/policy/policy.go
@@ -357,8 +357,7 @@
 	}
 }
 
-// step halves windows on memory waits, utilisation or, where that is missing, own latency; else it
-// doubles them below the slow-start threshold and adds one above it.
+// step halves windows on memory waits, utilisation or, for want of it, own latency; else they grow.
 func (m *Module) step(e *engine, utilKnown bool) {
 	e.Stepped = m.now
 	for i := range e.Windows {
@@ -494,7 +493,6 @@
 	m.finish(s)
 }
 
-// finish forgets a statement that is over and calls off what still runs for it.
 func (m *Module) finish(s *statement) {
 	m.keys.Leave(s)
 	s.Done = true
@@ -712,7 +710,7 @@
 
 // ---- 5. Holding and shedding ----
 
-// hasRoom: this router's part of an engine is not used up, and no load there would hold the statement up.
+// hasRoom: neither this router's part of the engine nor the engine is full, and no load holds its tables.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
 	others := e.Others
 	if !m.isLight(s) { // leaves room to what is light, from whichever router
@@ -790,8 +788,7 @@
 	return s.MemoryMB * s.Workload.Grant
 }
 
-// setTerms names the grant, and the highest priority for what is light for its importance.
-// None gets the lowest: what starves keeps its memory and its threads.
+// setTerms names the grant and the priority; none gets the lowest: what starves keeps its memory.
 func (m *Module) setTerms(s *statement) {
 	t := decision.SetTerms{Statement: s.ID, Priority: 1}
 	if m.traits.Grants {
@@ -806,12 +803,10 @@
 	}
 }
 
-// latestStart is the latest that meets the SLO time, at the pace of engines now.
 func latestStart(s *statement) time.Duration {
 	return s.SLODue - time.Duration(s.Workload.Pace*float64(s.Run))
 }
 
-// isLight: its answer counts much for its work.
 func (m *Module) isLight(s *statement) bool { return m.value(s) > m.lightest/2 }
 
 // value is what an answer still counts for its work: less when it will be late or is beyond a share.
