--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -69,6 +69,10 @@
 	return decision.ExecutionEnded{Statement: id, Execution: n, Engine: e, Outcome: o, Over: o == decision.Completed}
 }
 
+func note(id decision.StatementID, e decision.EngineID, n decision.Note, v float64) decision.ExecutionNoted {
+	return decision.ExecutionNoted{Statement: id, Engine: e, Note: n, Value: v}
+}
+
 // pick returns the actions of one type from the last call.
 func pick[A decision.Action](b *bed) (list []A) {
 	for _, a := range b.out {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -327,9 +327,6 @@
 
 // Failures found: each has its case here.
 func TestFailuresFound(t *testing.T) {
-	note := func(id decision.StatementID, e decision.EngineID, n decision.Note, v float64) decision.ExecutionNoted {
-		return decision.ExecutionNoted{Statement: id, Engine: e, Note: n, Value: v}
-	}
 	t.Run("estimates of memory that run low: grants follow the spills", func(t *testing.T) {
 		b := newBed(t)
 		b.traits.Grants = true
@@ -474,6 +471,109 @@
 	})
 }
 
+// TestManyRouters: failures found on the grown deployments.
+func TestManyRouters(t *testing.T) {
+	holds := func(inFlight float64) *decision.Report {
+		r := &decision.Report{}
+		r.Value[decision.FieldInFlight], r.Known[decision.FieldInFlight] = inFlight, true
+		return r
+	}
+	heavy := write("s")
+	heavy.Estimate = 4 * time.Second
+	t.Run("equal scores do not fall to the same engine at every router", func(t *testing.T) {
+		chosen := map[decision.EngineID]bool{}
+		for me := range 40 {
+			b := newBed(t)
+			b.me.Router, b.me.Routers = decision.RouterID(me), 40
+			for i := range 3 { // the group's share of the traffic makes it several candidates
+				b.at(time.Duration(i)*100*ms, ready("a", "b", "c", "d"), read(decision.StatementID(fmt.Sprint(i))))
+				b.m.fleet.Of("a").Warm, b.m.fleet.Of("b").Warm = nil, nil
+			}
+			for _, sent := range pick[decision.Execute](b) {
+				chosen[sent.Engine] = true
+			}
+		}
+		assert.Greater(t, len(chosen), 1)
+	})
+	for _, c := range []struct {
+		name     string
+		inFlight float64
+		want     bool
+		ev       decision.StatementArrived
+	}{
+		{"light work takes what others left", 8, true, read("s")},
+		{"heavy work leaves room to light work of any router", 8, false, heavy},
+		{"heavy work takes an engine that is nearly idle", 2, true, heavy},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t)
+			b.me.Routers = 100
+			b.at(0, ready("a")).at(time.Second)
+			b.at(time.Second, decision.ProbeEnded{Engine: "a", Outcome: decision.Completed, Report: holds(c.inFlight)})
+			assert.Equal(t, c.want, b.at(time.Second+ms, c.ev).sentTo() != "")
+		})
+	}
+	t.Run("where reports come by probe, the statement waits for its candidates' reports", func(t *testing.T) {
+		b := newBed(t)
+		b.reports.Path = decision.ReportsByProbe
+		b.at(0, ready("a", "b", "c", "d"))
+		assert.Empty(t, pick[decision.Probe](b), "none on a clock")
+		asked := pick[decision.Probe](b.at(ms, read("s")))
+		require.NotEmpty(t, asked)
+		assert.LessOrEqual(t, len(asked), askFirst, "two a statement at most")
+		assert.Empty(t, b.sentTo())
+		for _, p := range asked {
+			b.at(2*ms, decision.ProbeEnded{Engine: p.Engine, Outcome: decision.Completed, Report: holds(0)})
+		}
+		assert.Equal(t, asked[len(asked)-1].Engine, b.sentTo())
+	})
+	t.Run("a router's part of the fleet is kept on average, and lighter work is not held up", func(t *testing.T) {
+		b := newBed(t)
+		b.me.Routers = 16 // the part: 3.2 x 8 / 16 = 1.6 threads, a write takes two
+		b.at(0, ready("a", "b")).at(time.Second)
+		first := write("first")
+		require.NotEmpty(t, b.at(1001*ms, first).sentTo(), "from what was saved up")
+		second := write("second")
+		second.Tables = 9
+		b.m.credit = 0
+		assert.Empty(t, b.at(1002*ms, second).sentTo())
+		assert.NotEmpty(t, b.at(1003*ms, read("light")).sentTo())
+	})
+	t.Run("what cannot end before its client gives up is rejected at once", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a"))
+		endless := read("s")
+		endless.Estimate = 5 * time.Second
+		b.at(ms, endless)
+		assert.Empty(t, b.sentTo())
+		assert.Len(t, pick[decision.Reject](b), 1)
+	})
+	t.Run("what is half done gets the highest priority, where priorities are heeded", func(t *testing.T) {
+		b := newBed(t)
+		b.traits.Priorities, b.traits.ProgressEvery = true, 500*ms
+		b.at(0, ready("a"), heavy)
+		b.at(500*ms, note("s", "a", decision.NoteProgress, 0.4))
+		assert.Empty(t, pick[decision.SetTerms](b))
+		b.at(time.Second, note("s", "a", decision.NoteProgress, 0.6))
+		require.Len(t, pick[decision.SetTerms](b), 1)
+		assert.Equal(t, 3, pick[decision.SetTerms](b)[0].Priority)
+	})
+	t.Run("loads of one group spread over half of the engines", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a", "b", "c", "d", "e", "f"))
+		load := &statement{Workload: b.m.workloads[1], Tables: 7}
+		assert.Len(t, b.m.candidates(load, slices.Clone(b.m.fleet.All)), 3)
+	})
+	t.Run("a list of engines all cold, and all draining", func(t *testing.T) {
+		cold, draining := ready("a", "b"), ready("a", "b")
+		for i := range cold.Entries {
+			cold.Entries[i].StartedAt, draining.Entries[i].State = 5*time.Second, decision.Draining
+		}
+		b := newBed(t).at(0).at(5*time.Second, cold, read("s"))
+		assert.NotEmpty(t, b.sentTo(), "one router has the budget whole")
+		assert.Empty(t, b.at(6*time.Second, draining, read("s2")).sentTo())
+		assert.Len(t, pick[decision.Reject](b.at(10*time.Second)), 2, "the second never went")
+	})
+}
+
 func TestSameEventsSameActions(t *testing.T) {
 	run := func() (all []decision.Action) {
 		b := newBed(t).at(0, ready("a", "b", "c"))
