--- a/policy/policy.go
+++ b/policy/policy.go
@@ -550,7 +550,8 @@
 		if e == nil {
 			machine := m.traits.Machines[entry.Kind]
 			e = m.fleet.Add(&engine{Entry: entry, Cores: max(1, machine.Cores), MemoryMB: machine.MemoryMB,
-				Stepped: m.now, LastNews: m.now, LoadedUntil: map[decision.TableGroup]time.Duration{}})
+				Stepped: m.now, LastNews: m.now, Reported: m.now - reportPeriod,
+				LoadedUntil: map[decision.TableGroup]time.Duration{}})
 			e.Windows = m.firstWindows(e)
 		} else if entry.StartedAt > e.StartedAt { // started anew: it holds nothing warm
 			e.Restarted(m.firstWindows(e))
@@ -712,13 +713,13 @@
 
 // hasRoom: neither this router's part of the engine nor the engine is full, and no load holds its tables.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
-	others := e.Others
-	if !m.isLight(s) { // leaves room to what is light, from whichever router
+	own, others := float64(len(e.Execs)), e.Others
+	memory := others*m.outMem/max(1, m.out) + e.MemOut + m.need(s) // others' statements need as own ones do
+	if !m.isLight(s) {                                             // leaves room to what is light, from whichever router
 		others *= heavySight
 	}
-	memory := others*m.outMem/max(1, m.out) + e.MemOut + m.need(s) // others' statements need as own ones do
 	if float64(e.Threads) >= roomThreads*e.Cores/math.Pow(m.routers, 0.75)*m.warmth(e) ||
-		others+float64(len(e.Execs)) >= crowdMost*e.Cores || e.MemoryMB > 0 &&
+		others+own >= crowdMost*e.Cores || e.MemoryMB > 0 &&
 		(others > 0 && memory > e.MemoryMB || e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.routers) {
 		return false
 	}
