--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,7 +52,7 @@
 	badPlan               = 4.0             // times the expected run that make an execution worth giving up
 	roomThreads           = 3.2             // threads a core that all routers together keep on an engine
 	mixDecay              = 0.995           // a sweep
-	heavySight            = 3.0             // of what others hold, for what is not light for its importance
+	heavySight            = 2.5             // of what others hold, for what is not light, by the share that is
 	partSpan              = 4 * time.Second // over which a router keeps its part of the fleet on average
 	crowdWeight           = 2.0             // that share at which the fleet's part is least, inverted
 	crowdMost             = 1.6             // statements a core, all routers' and what time-outs left
@@ -110,6 +110,7 @@
 	stirred     bool    // what is held may find room that it did not find before
 	tried       int     // held statements that found no room since the last stir
 	asks        float64 // probes that may still be sent
+	lights      float64 // share of late statements that are light for their importance
 }
 
 // New opens an instance; each argument is one part's settings.
@@ -198,6 +199,9 @@
 	s.Run = seconds(work / float64(w.Threads))
 	s.SLODue = m.now + w.Allowance(s.Run)
 	m.stmts[s.ID] = s
+	if m.lights *= 1 - learnRate; m.isLight(s) {
+		m.lights += learnRate
+	}
 	m.traffic.Count(s.Tables)
 	m.asks = min(m.asks+askFirst, askMost*askMost) // probes follow the statements
 	m.taken.Add(m.now, 1)
@@ -713,13 +717,13 @@
 
 // hasRoom: neither this router's part of the engine nor the engine is full, and no load holds its tables.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
-	own, others := float64(len(e.Execs)), e.Others
-	memory := others*m.outMem/max(1, m.out) + e.MemOut + m.need(s) // others' statements need as own ones do
-	if !m.isLight(s) {                                             // leaves room to what is light, from whichever router
-		others *= heavySight
+	others := e.Others
+	if !m.isLight(s) { // leaves room to what is light, from whichever router, as far as there is any
+		others *= 1 + heavySight*m.lights
 	}
+	memory := others*m.outMem/max(1, m.out) + e.MemOut + m.need(s) // others' statements need as own ones do
 	if float64(e.Threads) >= roomThreads*e.Cores/math.Pow(m.routers, 0.75)*m.warmth(e) ||
-		others+own >= crowdMost*e.Cores || e.MemoryMB > 0 &&
+		others+float64(len(e.Execs)) >= crowdMost*e.Cores || e.MemoryMB > 0 &&
 		(others > 0 && memory > e.MemoryMB || e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.routers) {
 		return false
 	}
