--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	warmCost, coldCost    = 1.0, 2.0  // warmth cost
 	warmGroups            = 4         // table groups sent last that count as warm on an engine
 	fanOutSlack           = 4.0       // candidates over a table group's even part of the engines
-	fanOutDecay           = 0.999     // of the table groups' counts, at each statement
+	fanOutDecay           = 0.99      // of the table groups' counts, at each statement
 	fanOutMost            = 32
 	windowThreads         = 2.0         // ceiling of a window, in threads a core
 	busyUtil              = 0.65        // above it a candidate counts as congested
