--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,15 +1,14 @@
 // Package policy decides, for one router, what runs, where and with how much memory.
 //
-// Called: New once at an instance's start, then Handle with what happened; it returns what to
-// do. The interface (ids, settings, events, actions) stands in package decision; package state
-// keeps what is remembered. The ordinary path of a statement is route, by docs/design.md.
+// Called: New once, then Handle with what happened; it returns what to do. The interface stands in package
+// decision; package state keeps what is remembered. The ordinary path is route, by docs/design.md.
 //
 // Beside the design stand six mechanisms:
 //  1. gate: every send and every final answer passes the rules there.
 //  2. clock: one timer, one ordered row of due times; every statement is answered in time.
 //  3. health: engines that do not connect or fall silent are left and tried with care.
 //  4. further executions: what was lost, is stuck or got a bad plan goes elsewhere, if harmless.
-//  5. holding and shedding: statements wait here while engines are full, by urgency and share.
+//  5. holding and shedding: statements wait here while engines are full, by what their answer counts.
 //  6. grants and priorities, where engines heed them.
 package policy
 
@@ -32,7 +31,7 @@
 	warmCost, coldCost    = 1.0, 2.0  // warmth cost
 	warmGroups            = 4         // table groups sent last that count as warm on an engine
 	fanOutSlack           = 4.0       // candidates over a table group's even part of the engines
-	fanOutDecay           = 0.99      // of the table groups' counts, at each statement
+	fanOutDecay           = 0.999     // of the table groups' counts, at each statement
 	fanOutMost            = 32
 	windowThreads         = 2.0         // ceiling of a window, in threads a core
 	busyUtil              = 0.65        // above it a candidate counts as congested
@@ -351,11 +350,9 @@
 	}
 	e.Reported = m.now
 	e.Hear(r)
-	over := 0.0
-	if e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores || e.Queue >= 1 {
-		over = 1
+	if m.crowded *= 1 - learnRate; e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores || e.Queue >= 1 {
+		m.crowded += learnRate
 	}
-	m.crowded += learnRate * (over - m.crowded)
 	if m.now >= e.Stepped+reportPeriod {
 		m.step(e, r.Known[decision.FieldUtilisation])
 	}
@@ -452,9 +449,8 @@
 	return s.Key == "" || k.Line[0] == s && (len(s.Execs) > 0 || k.Open == 0 && m.now >= k.RestUntil)
 }
 
-// coldLeft: all routers together may send a cold engine only so much work in any window, judged at the least
-// that it can do. Cut among hundreds that is under a statement each, so a hash that all can work out names
-// the few that may warm it. A router that has just started has forgotten what it sent, and waits a window.
+// coldLeft keeps all routers' budget, at the least that a cold engine can do. A hash names the few that may
+// warm it, in whole statements. A router that has just started has forgotten what it sent, and waits.
 func (m *Module) coldLeft(s *statement, e *engine) bool {
 	r := m.rules
 	if !m.isCold(e) {
@@ -604,15 +600,13 @@
 }
 
 func (m *Module) probed(ev decision.ProbeEnded) {
-	e := m.fleet.Of(ev.Engine)
-	if e == nil {
-		return
-	}
-	e.Probing = false
-	if m.report(e, ev.Report); ev.Outcome == decision.NotConnected {
-		m.leave(e, true)
-	} else if ev.Outcome == decision.TimedOut { // too busy to answer a probe: as good as full
-		e.Reported, e.Others = m.now, crowdMost*e.Cores
+	if e := m.fleet.Of(ev.Engine); e != nil {
+		e.Probing = false
+		if m.report(e, ev.Report); ev.Outcome == decision.NotConnected {
+			m.leave(e, true)
+		} else if ev.Outcome == decision.TimedOut { // too busy to answer a probe: as good as full
+			e.Reported, e.Others = m.now, crowdMost*e.Cores
+		}
 	}
 }
 
@@ -742,7 +736,7 @@
 	return m.credit > 0 || m.partUsed(s.Workload.Work, threads, need) <= 1
 }
 
-// partUsed is the share of its part, less as reports tell of full engines, that workloads up to a work use.
+// partUsed is the used share of the part, which falls as reports tell of full engines.
 func (m *Module) partUsed(work, threads, mem float64) float64 {
 	for _, w := range m.workloads {
 		if w.Work <= work {
