A router that has seen few statements spreads a table group wider

Cause: at three statements a second a hot group counts as hot only after ten seconds, and its few engines fill before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,7 @@
 	warmCost, coldCost    = 1.0, 2.0  // warmth cost
 	warmGroups            = 4         // table groups sent last that count as warm on an engine
 	fanOutSlack           = 4.0       // candidates over a table group's even part of the engines
+	fanOutDoubt           = 0.3       // statements an engine that count against a table group with few of them
 	fanOutDecay           = 0.999     // of the table groups' counts, at each statement
 	fanOutMost            = 32
 	windowThreads         = 2.0         // ceiling of a window, in threads a core
@@ -284,7 +285,7 @@
 			far = append(far, e)
 		}
 	}
-	step := (m.traffic.Total()/float64(len(ready)) + 1) / fanOutSlack
+	step := (m.traffic.Total()/float64(len(ready)) + fanOutDoubt) / fanOutSlack
 	k := max(1, warm, int(m.traffic.Of(s.Tables)/step)+1)
 	return append(near, far...)[:min(k, fanOutMost, len(ready))]
 }
