--- a/policy/policy.go
+++ b/policy/policy.go
@@ -712,12 +712,12 @@
 
 // hasRoom: neither this router's part of the engine nor the engine is full, and no load holds its tables.
 func (m *Module) hasRoom(e *engine, s *statement) bool {
-	others, even := e.Others, math.Pow(m.routers, 0.75) // more than an even part, for uneven traffic
-	if !m.isLight(s) {                                  // leaves room to what is light, from whichever router, as far as there is any
-		others, even = others*(1+heavySight*m.lights), m.routers
+	others := e.Others
+	if !m.isLight(s) { // leaves room to what is light, from whichever router, as far as there is any
+		others *= 1 + heavySight*m.lights
 	}
 	memory := others*m.outMem/max(1, m.out) + e.MemOut + m.need(s) // others' statements need as own ones do
-	if float64(e.Threads) >= roomThreads*e.Cores/even*m.warmth(e) ||
+	if float64(e.Threads) >= roomThreads*e.Cores/math.Pow(m.routers, 0.75)*m.warmth(e) ||
 		others+float64(len(e.Execs)) >= crowdMost*e.Cores || e.MemoryMB > 0 &&
 		(others > 0 && memory > e.MemoryMB || e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.routers) {
 		return false
