--- a/policy/policy.go
+++ b/policy/policy.go
@@ -57,7 +57,7 @@
 	crowdWeight           = 2.0             // that share at which the fleet's part is least, inverted
 	crowdMost             = 1.6             // statements a core, all routers' and what time-outs left
 	loadKnown             = 4               // notes' time that a load is held to go on after a note of it
-	askFirst, askMost     = 2, 4            // probes for a statement's candidates, and for wider choice
+	askFirst, askMost     = 1, 4            // probes for a statement's candidates, and for wider choice
 	barredCost            = 1e6             // of a barred engine, in its score
 	leftLeast             = 0.05            // of a window, however many others hold
 	halfDone              = 0.5             // share done from which an execution gets the highest priority
@@ -203,7 +203,7 @@
 		m.lights += learnRate
 	}
 	m.traffic.Count(s.Tables)
-	m.asks = min(m.asks+askFirst, askMost*askMost) // probes follow the statements
+	m.asks = min(m.asks+2*askFirst, askMost*askMost) // probes follow the statements
 	m.taken.Add(m.now, 1)
 	m.taken.Over(m.now - m.rules.FurtherWindow) // forgets what is older
 	if w.InOrder && ev.Key != "" {
