An engine's own pace against its workload's counts in the score

Cause: where reports tell neither in flight nor utilisation, a slow or ageing engine looks like any other until its windows halve. It should also help against engines that pause or thrash; it could harm after one unlucky statement, for some seconds, since it fades in half a minute.

--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -172,6 +172,7 @@
 	Left, Lost         bool // not sent to; its connections broke or failed
 	LeftUntil, Backoff time.Duration
 	LastNews, Stepped  time.Duration
+	Pace               float64 // time taken over what its workload usually takes
 	Probing            bool
 	ProbedAt, Reported time.Duration // last probe, last report
 	ColdSent           span.Sum
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,25 +47,26 @@
 
 	backoffFirst, backoffMost = 500 * time.Millisecond, 8 * time.Second // before a left engine is tried again
 
-	silentSLOs            = 0.6             // SLO times without news, where there are no notes
-	silentPaces           = 10.0            // times the usual run, which must have passed too
-	badPlan               = 4.0             // times the expected run that make an execution worth giving up
-	roomThreads           = 3.2             // threads a core that all routers together keep on an engine
-	mixDecay              = 0.995           // a sweep
-	heavySight            = 2.5             // of what others hold, for what is not light, by the share that is
-	partSpan              = 4 * time.Second // over which a router keeps its part of the fleet on average
-	crowdWeight           = 2.0             // that share at which the fleet's part is least, inverted
-	crowdMost             = 1.6             // statements a core, all routers' and what time-outs left
-	loadKnown             = 4               // notes' time that a load is held to go on after a note of it
-	askFirst, askMost     = 1, 4            // probes for a statement's candidates, and for wider choice
-	barredCost            = 1e6             // of a barred engine, in its score
-	leftLeast             = 0.05            // of a window, however many others hold
-	halfDone              = 0.5             // share done from which an execution gets the highest priority
-	paceStep              = 0.02            // of a workload's pace, up or down at each answer
-	chanceRoom            = 3.0             // of a share, in times its square root
-	lookedMost            = 4               // statements of a workload without room before a pass skips the rest
-	grantFirst, grantMost = 1.25, 3.0       // of the estimate of memory
-	grantUp, grantDown    = 0.04, 0.004     // of a workload's grants, at a spill and without one
+	silentSLOs              = 0.6             // SLO times without news, where there are no notes
+	silentPaces             = 10.0            // times the usual run, which must have passed too
+	badPlan                 = 4.0             // times the expected run that make an execution worth giving up
+	roomThreads             = 3.2             // threads a core that all routers together keep on an engine
+	mixDecay                = 0.995           // a sweep
+	heavySight              = 2.5             // of what others hold, for what is not light, by the share that is
+	partSpan                = 4 * time.Second // over which a router keeps its part of the fleet on average
+	crowdWeight             = 2.0             // that share at which the fleet's part is least, inverted
+	crowdMost               = 1.6             // statements a core, all routers' and what time-outs left
+	loadKnown               = 4               // notes' time that a load is held to go on after a note of it
+	askFirst, askMost       = 2, 4            // probes for a statement's candidates, and for wider choice
+	barredCost              = 1e6             // of a barred engine, in its score
+	leftLeast               = 0.05            // of a window, however many others hold
+	halfDone                = 0.5             // share done from which an execution gets the highest priority
+	engineLearn, engineFade = 0.2, 0.002      // of an engine's own pace, at an answer and a sweep
+	paceStep                = 0.02            // of a workload's pace, up or down at each answer
+	chanceRoom              = 3.0             // of a share, in times its square root
+	lookedMost              = 4               // statements of a workload without room before a pass skips the rest
+	grantFirst, grantMost   = 1.25, 3.0       // of the estimate of memory
+	grantUp, grantDown      = 0.04, 0.004     // of a workload's grants, at a spill and without one
 )
 
 type (
@@ -203,7 +204,7 @@
 		m.lights += learnRate
 	}
 	m.traffic.Count(s.Tables)
-	m.asks = min(m.asks+2*askFirst, askMost*askMost) // probes follow the statements
+	m.asks = min(m.asks+askFirst, askMost*askMost) // probes follow the statements
 	m.taken.Add(m.now, 1)
 	m.taken.Over(m.now - m.rules.FurtherWindow) // forgets what is older
 	if w.InOrder && ev.Key != "" {
@@ -265,7 +266,7 @@
 	}
 	inFlight := float64(e.Threads) / float64(s.Workload.Threads)
 	left := max(leftLeast, 1-e.Others/(crowdMost*e.Cores))
-	return zone * (inFlight + 1) / (w.Size * left) * warmth
+	return zone * (inFlight + 1) / (w.Size * left) * warmth * max(1, e.Pace)
 }
 
 // candidates takes K engines: warm ones first, then nearer zones, each by rendezvous hash. A load would hold
@@ -522,6 +523,7 @@
 			e.UtilKnown, e.Queue, e.Others = false, 0, 0
 			m.step(e, false)
 		}
+		e.Pace += engineFade * (1 - e.Pace)
 		m.out, m.outMem = m.out+float64(len(e.Execs)), m.outMem+e.MemOut
 		if share := m.warmth(e); !e.Lost && (!e.Left || m.now >= e.LeftUntil) {
 			m.cores, m.mem = m.cores+share*e.Cores, m.mem+share*e.MemoryMB
@@ -551,7 +553,7 @@
 		if e == nil {
 			machine := m.traits.Machines[entry.Kind]
 			e = m.fleet.Add(&engine{Entry: entry, Cores: max(1, machine.Cores), MemoryMB: machine.MemoryMB,
-				Stepped: m.now, LastNews: m.now, Reported: m.now - reportPeriod,
+				Stepped: m.now, LastNews: m.now, Reported: m.now - reportPeriod, Pace: 1,
 				LoadedUntil: map[decision.TableGroup]time.Duration{}})
 			e.Windows = m.firstWindows(e)
 		} else if entry.StartedAt > e.StartedAt { // started anew: it holds nothing warm
@@ -680,6 +682,7 @@
 		if m.now-x.Sent > s.Workload.Allowance(s.Run)/2 {
 			w.Late++
 		}
+		e.Pace += engineLearn * (float64(m.now-x.Sent)/max(1, s.Workload.Pace*float64(s.Run)) - e.Pace)
 		pace := &s.Workload.Pace // tracks the median
 		*pace *= 1 + math.Copysign(paceStep, float64(m.now-x.Sent)-*pace*float64(s.Run))
 		if ev.Outcome == decision.Completed && !x.Spilled {
