--- a/policy/policy.go
+++ b/policy/policy.go
@@ -345,7 +345,6 @@
 
 func ceiling(e *engine, w *workload) float64 { return max(1, e.Cores*windowThreads/float64(w.Threads)) }
 
-// report takes a load report and moves the engine's windows, once a report period.
 func (m *Module) report(e *engine, r *decision.Report) {
 	if r == nil {
 		return
@@ -386,7 +385,6 @@
 	}
 }
 
-// refused: a full refusal halves the window and bars the engine for the workload for a while.
 func (m *Module) refused(w *window) {
 	m.halve(w)
 	w.Refusals++
@@ -394,7 +392,6 @@
 	m.due.At(m.now+reportPeriod, func() { w.Barred = false })
 }
 
-// firstWindows: the mean window of ready engines of the kind, or 1.
 func (m *Module) firstWindows(e *engine) []window {
 	windows := make([]window, len(m.workloads))
 	for i, w := range m.workloads {
@@ -659,7 +656,6 @@
 	}
 }
 
-// ended takes the one outcome of an execution.
 func (m *Module) ended(ev decision.ExecutionEnded) {
 	x := m.fleet.Release(ev.Engine, ev.Statement, ev.Execution, ev.Outcome == decision.Full ||
 		ev.Outcome == decision.NotConnected || ev.Outcome == decision.NeverSent)
