--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,7 +64,7 @@
 	engineLearn, engineFade = 0.2, 0.002      // of an engine's own pace, at an answer and a sweep
 	paceStep                = 0.02            // of a workload's pace, up or down at each answer
 	chanceRoom              = 3.0             // of a share, in times its square root
-	lookedMost              = 4               // statements of a workload without room before a pass skips the rest
+	lookedMost              = 4               // statements of a workload without room before a pass skips it
 	grantFirst, grantMost   = 1.25, 3.0       // of the estimate of memory
 	grantUp, grantDown      = 0.04, 0.004     // of a workload's grants, at a spill and without one
 )
