--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -555,6 +555,19 @@
 		require.Len(t, pick[decision.SetTerms](b), 1)
 		assert.Equal(t, 3, pick[decision.SetTerms](b)[0].Priority)
 	})
+	t.Run("an engine slower than its workload's usual pace scores worse, for a while", func(t *testing.T) {
+		b := newBed(t).at(0, ready("a", "b"))
+		e := b.at(ms, read("s")).sentTo()
+		require.NotEmpty(t, e)
+		b.at(900*ms, end("s", 0, e, decision.Completed)) // nine times the expected run
+		slow := b.m.fleet.Of(e)
+		assert.Greater(t, slow.Pace, 2.0)
+		assert.NotEqual(t, e, b.at(901*ms, read("s2")).sentTo())
+		for i := range 3000 {
+			b.at(time.Second + time.Duration(i)*50*ms)
+		}
+		assert.InDelta(t, 1, slow.Pace, 0.1)
+	})
 	t.Run("loads of one group spread over half of the engines", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a", "b", "c", "d", "e", "f"))
 		load := &statement{Workload: b.m.workloads[1], Tables: 7}
