--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,6 +41,7 @@
 
 	sweepEvery    = 50 * time.Millisecond
 	coldSafety    = 0.6                    // of a cold engine's budget, for slow machines and chance
+	coldPart      = 2.0                    // times the smallest work, that a router's part of a cold budget is at least
 	coldMargin    = 500 * time.Millisecond // around the rule's times, for what is on its way
 	capacityShare = 0.85                   // of the cores, busy at capacity
 	learnRate     = 0.05
@@ -93,7 +94,7 @@
 	taken       span.Sum       // statements
 	further     span.Sum       // executions beyond each statement's first
 	opened      time.Duration  // when this instance started
-	heaviest    float64        // mean work of a workload, the largest
+	smallest    float64        // mean work of a workload, the smallest
 	due         due.Times
 	armed       time.Duration // when the one timer comes, 0: not set
 	swept       time.Duration // last sweep
@@ -456,7 +457,7 @@
 		return true
 	}
 	all := coldSafety * r.ColdMultiple * r.ColdShare * capacityShare * e.Cores * r.ColdWindow.Seconds()
-	few := min(int(m.routers), max(1, int(all/max(m.heaviest, s.Workload.Work))))
+	few := min(int(m.routers), max(1, int(all/(coldPart*m.smallest))))
 	sent := e.ColdSent.Over(m.now - r.ColdWindow - coldMargin)
 	return sent+s.Workload.Work <= all/float64(few) && m.now >= m.opened+r.ColdWindow &&
 		e.Place(int(m.me.Router), int(m.routers)) < few
@@ -526,9 +527,9 @@
 			m.cores, m.mem = m.cores+share*e.Cores, m.mem+share*e.MemoryMB
 		}
 	}
-	m.heaviest, m.lightest = 0, 0
+	m.smallest, m.lightest = math.Inf(1), 0
 	for _, w := range m.workloads {
-		m.heaviest, m.lightest = max(m.heaviest, w.Work), max(m.lightest, w.Importance/w.Work)
+		m.smallest, m.lightest = min(m.smallest, w.Work), max(m.lightest, w.Importance/w.Work)
 	}
 	m.credit += (1 - m.partUsed(math.Inf(1), 0, 0)) * (m.now - m.swept).Seconds()
 	m.credit = min(max(m.credit, -partSpan.Seconds()), partSpan.Seconds())
