--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,7 +41,6 @@
 
 	sweepEvery    = 50 * time.Millisecond
 	coldSafety    = 0.6                    // of a cold engine's budget, for slow machines and chance
-	coldPart      = 2.0                    // times the smallest work, that a router's part of a cold budget is at least
 	coldMargin    = 500 * time.Millisecond // around the rule's times, for what is on its way
 	capacityShare = 0.85                   // of the cores, busy at capacity
 	learnRate     = 0.05
@@ -55,7 +54,7 @@
 	mixDecay                = 0.995           // a sweep
 	heavySight              = 2.5             // of what others hold, for what is not light, by the share that is
 	partSpan                = 4 * time.Second // over which a router keeps its part of the fleet on average
-	crowdWeight             = 2.0             // that share at which the fleet's part is least, inverted
+	crowdWeight             = 1.0             // that share at which the fleet's part is least, inverted
 	crowdMost               = 1.6             // statements a core, all routers' and what time-outs left
 	loadKnown               = 4               // notes' time that a load is held to go on after a note of it
 	askFirst, askMost       = 2, 4            // probes for a statement's candidates, and for wider choice
@@ -94,7 +93,7 @@
 	taken       span.Sum       // statements
 	further     span.Sum       // executions beyond each statement's first
 	opened      time.Duration  // when this instance started
-	smallest    float64        // mean work of a workload, the smallest
+	heaviest    float64        // mean work of a workload, the largest
 	due         due.Times
 	armed       time.Duration // when the one timer comes, 0: not set
 	swept       time.Duration // last sweep
@@ -457,7 +456,7 @@
 		return true
 	}
 	all := coldSafety * r.ColdMultiple * r.ColdShare * capacityShare * e.Cores * r.ColdWindow.Seconds()
-	few := min(int(m.routers), max(1, int(all/(coldPart*m.smallest))))
+	few := min(int(m.routers), max(1, int(all/max(m.heaviest, s.Workload.Work))))
 	sent := e.ColdSent.Over(m.now - r.ColdWindow - coldMargin)
 	return sent+s.Workload.Work <= all/float64(few) && m.now >= m.opened+r.ColdWindow &&
 		e.Place(int(m.me.Router), int(m.routers)) < few
@@ -527,9 +526,9 @@
 			m.cores, m.mem = m.cores+share*e.Cores, m.mem+share*e.MemoryMB
 		}
 	}
-	m.smallest, m.lightest = math.Inf(1), 0
+	m.heaviest, m.lightest = 0, 0
 	for _, w := range m.workloads {
-		m.smallest, m.lightest = min(m.smallest, w.Work), max(m.lightest, w.Importance/w.Work)
+		m.heaviest, m.lightest = max(m.heaviest, w.Work), max(m.lightest, w.Importance/w.Work)
 	}
 	m.credit += (1 - m.partUsed(math.Inf(1), 0, 0)) * (m.now - m.swept).Seconds()
 	m.credit = min(max(m.credit, -partSpan.Seconds()), partSpan.Seconds())
