--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,7 +54,6 @@
 	mixDecay                = 0.995           // a sweep
 	heavySight              = 2.5             // of what others hold, for what is not light, by the share that is
 	partSpan                = 4 * time.Second // over which a router keeps its part of the fleet on average
-	crowdWeight             = 1.0             // that share at which the fleet's part is least, inverted
 	crowdMost               = 1.6             // statements a core, all routers' and what time-outs left
 	loadKnown               = 4               // notes' time that a load is held to go on after a note of it
 	askFirst, askMost       = 2, 4            // probes for a statement's candidates, and for wider choice
@@ -106,7 +105,6 @@
 	cores, mem  float64 // of the engines in use, cold ones at what they can do
 	credit      float64 // seconds for which twice the router's part of the fleet may be used
 	out, outMem float64 // own executions that were out lately, and their memory
-	crowded     float64 // share of late reports that told of a full engine
 	lightest    float64 // highest importance for its work of a workload
 	stirred     bool    // what is held may find room that it did not find before
 	tried       int     // held statements that found no room since the last stir
@@ -351,9 +349,6 @@
 	}
 	e.Reported = m.now
 	e.Hear(r)
-	if m.crowded *= 1 - learnRate; e.Others+float64(len(e.Execs)) >= crowdMost*e.Cores || e.Queue >= 1 {
-		m.crowded += learnRate
-	}
 	if m.now >= e.Stepped+reportPeriod {
 		m.step(e, r.Known[decision.FieldUtilisation])
 	}
@@ -736,15 +731,14 @@
 	return m.credit > 0 || m.partUsed(s.Workload.Work, threads, need) <= 1
 }
 
-// partUsed is the used share of the part, which falls as reports tell of full engines.
+// partUsed is the share of this router's part that workloads up to a mean work use, and a little more.
 func (m *Module) partUsed(work, threads, mem float64) float64 {
 	for _, w := range m.workloads {
 		if w.Work <= work {
 			threads, mem = threads+float64(w.ThreadsOut), mem+w.MemOut
 		}
 	}
-	room := roomThreads - (roomThreads-windowThreads)*min(1, crowdWeight*m.crowded)
-	return m.routers * max(threads/max(1, room*m.cores), mem/cmp.Or(m.mem, math.Inf(1)))
+	return m.routers * max(threads/max(1, roomThreads*m.cores), mem/cmp.Or(m.mem, math.Inf(1)))
 }
 
 // dispatch sends what is held, by what an answer still counts for its work.
