--- /dev/null
+++ b/cmd/bankledge/main.go
@@ -0,0 +1,91 @@
+// Bankledge is a query gateway: it decides what runs, on which engine, when, and with how much memory.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap/zapcore"
+
+	"bankledge/internal/gateway"
+	"bankledge/internal/settings"
+)
+
+type commands struct {
+	Serve   serve   `cmd:"" help:"Serve clients until SIGTERM."`
+	Check   check   `cmd:"" help:"Check a configuration and say what is wrong with it."`
+	Version version `cmd:"" help:"Print the version."`
+}
+
+type serve struct {
+	Config string        `env:"LB_CONFIG" required:"" help:"Configuration, a JSON file."`
+	Listen string        `env:"LB_LISTEN" help:"Address for clients; the configuration's if empty."`
+	Name   string        `env:"LB_NAME" help:"The router's name; the configuration's if empty."`
+	Level  zapcore.Level `env:"LB_LOG_LEVEL" default:"info" help:"Lowest level of the log lines: debug, info, warn, error."`
+}
+
+// Run serves until SIGTERM or an interrupt.
+func (s *serve) Run() error {
+	cfg, err := settings.Load(s.Config)
+	if err != nil {
+		return err
+	}
+	if s.Listen != "" {
+		if err := settings.CheckAddress(s.Listen); err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		cfg.Listen = s.Listen
+	}
+	if s.Name != "" {
+		cfg.Name = s.Name
+	}
+	log, flush := newLog(s.Level)
+	defer flush()
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	signal.Ignore(syscall.SIGPIPE)
+	return gateway.New(cfg, log).Run(stop)
+}
+
+type check struct {
+	File string `arg:"" help:"Configuration, a JSON file."`
+}
+
+// Run tells whether a configuration can be served.
+func (c *check) Run() error {
+	cfg, err := settings.Load(c.File)
+	if err == nil {
+		err = gateway.Check(cfg)
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: fit to serve %s on %s\n", c.File, cfg.Name, cfg.Listen)
+	return nil
+}
+
+type version struct{}
+
+// Run prints the version that the build recorded.
+func (version) Run() error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("the build recorded no version")
+	}
+	fmt.Println("bankledge", info.Main.Version, info.GoVersion)
+	return nil
+}
+
+func main() {
+	parsed := kong.Parse(&commands{}, kong.Name("bankledge"), kong.Description("A query gateway."))
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "bankledge:", err)
+		os.Exit(1)
+	}
+}
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -279,6 +279,8 @@
 		Took    time.Duration
 		Report  *Report
 	}
+	// Stopping tells that this instance ends within a time: what is open must be answered by then.
+	Stopping struct{ Within time.Duration }
 	// PeerTold is a message from another router.
 	PeerTold struct {
 		From RouterID
@@ -307,6 +309,7 @@
 func (ClientLeft) event()       {}
 func (TimerFired) event()       {}
 func (ProbeEnded) event()       {}
+func (Stopping) event()         {}
 func (PeerTold) event()         {}
 
 // Action is something to be done.
--- /dev/null
+++ b/internal/back/back.go
@@ -0,0 +1,137 @@
+// Package back speaks with engines: HTTP/1.1 over pooled connections, executions with their polls and
+// pages, and probes. It decides nothing: what it finds out goes to its listener.
+package back
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bankledge/decision"
+)
+
+const (
+	mostBody   = 64 << 10 // bytes of one answer of an engine
+	mostResult = 64 << 10 // bytes of a whole result; the protocol's most is 48,000
+	mostPages  = 1 << 12
+
+	pollHeld  = 250 * time.Millisecond // an engine holds a poll so long when there is no news
+	pollSlack = 750 * time.Millisecond // beyond it a poll counts as hanging
+	forgets   = 2 * time.Second        // an engine drops what has not been asked for so long
+	forgetOff = 300 * time.Millisecond // for what was on its way
+	askAgain  = 50 * time.Millisecond  // between tries on a connection that does not come up
+
+	idleShare = 0.6 // of the engines' idle time, after which a connection is retired here
+)
+
+// Listener hears what engines say. Its calls may wait, but not for a socket.
+type Listener interface {
+	Noted(decision.ExecutionNoted)
+	Ended(ended decision.ExecutionEnded, result []byte)
+	Probed(decision.ProbeEnded)
+}
+
+// Back owns the connections to engines and the executions that are out.
+type Back struct {
+	listener Listener
+	log      *zap.Logger
+	pool     *pool
+	ctx      context.Context // ends the executions
+	running  sync.WaitGroup
+}
+
+// New returns a back that uses at most so many descriptors. All that it starts ends with ctx.
+func New(ctx context.Context, listener Listener, descriptors int, idleClose, connectIn time.Duration,
+	log *zap.Logger) *Back {
+	return &Back{listener: listener, log: log, ctx: ctx,
+		pool: newPool(descriptors, time.Duration(idleShare*float64(idleClose)), connectIn)}
+}
+
+// Tend keeps the pool until ctx ends, and waits for what is out.
+func (b *Back) Tend(ctx context.Context) error {
+	b.pool.tend(ctx)
+	b.running.Wait()
+	return nil
+}
+
+// Know tells where an engine listens.
+func (b *Back) Know(engine decision.EngineID, address string) { b.pool.know(engine, address) }
+
+// CloseIdle closes the idle connections to an engine.
+func (b *Back) CloseIdle(engine decision.EngineID) { b.pool.closeIdle(engine) }
+
+// Descriptors is how many are in use.
+func (b *Back) Descriptors() int { return b.pool.held() }
+
+// Reach makes a connection to an engine and keeps it for later use.
+func (b *Back) Reach(ctx context.Context, engine decision.EngineID) error {
+	c, err := b.pool.get(ctx, engine, true)
+	if err == nil {
+		b.pool.put(c)
+	}
+	return err
+}
+
+// Probe asks an engine for a sign of life and its load report; the listener hears of the end.
+func (b *Back) Probe(engine decision.EngineID) {
+	b.running.Go(func() {
+		sent := time.Now()
+		ended := decision.ProbeEnded{Engine: engine}
+		ended.Outcome, ended.Report = b.probe(engine, sent.Add(b.pool.connectIn))
+		ended.Took = time.Since(sent)
+		b.listener.Probed(ended)
+	})
+}
+
+func (b *Back) probe(engine decision.EngineID, until time.Time) (decision.Outcome, *decision.Report) {
+	c, err := b.pool.get(b.ctx, engine, false)
+	if err != nil {
+		return decision.NotConnected, nil
+	}
+	head, _, _, err := c.do(b.ctx, until, message("GET", "/busy", c.address, nil))
+	switch {
+	case isTimeout(err):
+		b.pool.drop(c)
+		return decision.TimedOut, nil
+	case err != nil:
+		b.pool.drop(c)
+		return decision.Reset, nil
+	case head.Close:
+		b.pool.drop(c)
+	default:
+		b.pool.put(c)
+	}
+	if head.Status != 200 {
+		return decision.Errored, parseReport(head.Get(fieldReport))
+	}
+	return decision.Completed, parseReport(head.Get(fieldReport))
+}
+
+// Order is what an execution needs to be told.
+type Order struct {
+	Statement decision.StatementID
+	Execution decision.ExecutionID
+	Engine    decision.EngineID
+	Workload  string
+	Text      []byte
+	Until     time.Time // the router waits no longer
+}
+
+// Execute starts an execution; the listener hears its notes and its one end. The returned call gives it
+// up, and may be made at any time.
+func (b *Back) Execute(order Order) (giveUp func()) {
+	ctx, cancel := context.WithCancel(b.ctx)
+	x := &execution{back: b, Order: order, path: "/x/" + string(order.Statement), sent: time.Now()}
+	b.running.Go(func() {
+		defer cancel()
+		outcome, result := x.run(ctx)
+		b.listener.Ended(decision.ExecutionEnded{Statement: order.Statement, Execution: order.Execution,
+			Engine: order.Engine, Outcome: outcome, Took: time.Since(x.sent), Report: x.report}, result)
+	})
+	return cancel
+}
+
+func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- /dev/null
+++ b/internal/back/outcome.go
@@ -0,0 +1,94 @@
+package back
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"bankledge/decision"
+	"bankledge/internal/http1"
+	"bankledge/internal/settings"
+)
+
+// The protocol's headers.
+const (
+	fieldID       = "X-Txn"
+	fieldWorkload = "X-Lane"
+	fieldLimit    = "X-Limit-Ms"
+	fieldNeverRan = "X-Unrun"
+	fieldPages    = "X-Batches"
+	fieldPage     = "X-Batch"
+	fieldNote     = "X-How"
+	fieldValue    = "X-Num"
+	fieldReport   = "X-Gauges"
+)
+
+// reading is what an engine's answer to the start of an execution, or to a poll, says.
+type reading struct {
+	over    bool             // the execution has ended
+	outcome decision.Outcome // with over
+	pages   int              // with a good end, how many there are
+	note    *decision.ExecutionNoted
+	report  *decision.Report
+}
+
+var notes = map[string]decision.Note{"done": decision.NoteProgress, "spills": decision.NoteSpills,
+	"waits": decision.NoteWaits}
+
+// outcomeOf is the one table from answers to outcomes. Only where an answer says so did nothing run.
+func outcomeOf(status int, neverRan bool) (outcome decision.Outcome, over bool) {
+	switch {
+	case status == 202:
+		return 0, false
+	case status == 200:
+		return decision.Completed, true
+	case status == 503 && neverRan:
+		return decision.Full, true
+	case status == 504 && neverRan:
+		return decision.NeverSent, true
+	}
+	return decision.Errored, true // 500, and all that the protocol does not know: it may have run
+}
+
+// read reads an answer; odd or absent fields are passed over, but for the number of pages.
+func read(head http1.Head) reading {
+	var r reading
+	r.report = parseReport(head.Get(fieldReport))
+	r.outcome, r.over = outcomeOf(head.Status, head.Get(fieldNeverRan) == "1")
+	if r.over && r.outcome == decision.Completed {
+		n, err := strconv.Atoi(head.Get(fieldPages))
+		if err != nil || n < 1 || n > mostPages {
+			r.outcome = decision.Errored // a result of unknown length is none
+		}
+		r.pages = n
+	}
+	if note, ok := notes[head.Get(fieldNote)]; ok && !r.over {
+		if value, ok := number(head.Get(fieldValue)); ok {
+			r.note = &decision.ExecutionNoted{Note: note, Value: value}
+		}
+	}
+	return r
+}
+
+// parseReport reads name:value pairs with semicolons between them; nil if there is nothing to be had.
+func parseReport(text string) *decision.Report {
+	var r *decision.Report
+	for pair := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(pair, ":")
+		field, known := settings.Gauges[strings.TrimSpace(name)]
+		v, ok := number(strings.TrimSpace(value))
+		if !known || !ok {
+			continue
+		}
+		if r == nil {
+			r = &decision.Report{}
+		}
+		r.Value[field], r.Known[field] = v, true
+	}
+	return r
+}
+
+func number(text string) (float64, bool) {
+	v, err := strconv.ParseFloat(text, 64)
+	return v, err == nil && v >= 0 && !math.IsInf(v, 0)
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,254 @@
+// Package feed follows the control feed: numbered changes of the list of engines, as server-sent events.
+package feed
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bankledge/decision"
+	"bankledge/internal/http1"
+	"bankledge/internal/settings"
+)
+
+const (
+	silence    = 3 * time.Second // a comment comes each second: a feed so long silent is dead
+	connectIn  = time.Second
+	pauseFirst = 50 * time.Millisecond
+	pauseMost  = time.Second
+	mostEvent  = 4 << 20 // bytes of one event
+	mostErrors = 3       // an event that cannot be read is asked for so often, then passed over
+)
+
+// Member is an engine in a change, with the address where it listens.
+type Member struct {
+	decision.Entry
+	Address string
+}
+
+// Change is one numbered event. Complete: it holds the whole list.
+type Change struct {
+	Number   int64
+	Version  int64
+	Complete bool
+	Members  []Member
+}
+
+var states = map[string]decision.EngineState{"active": decision.Ready, "leaving": decision.Draining,
+	"left": decision.Gone}
+
+// Parse reads one event; ok is false for an event that holds no list. Times of starts become spans since
+// origin; one before it is long ago, one after now counts as now.
+func Parse(raw []byte, origin, now time.Time) (c Change, ok bool, err error) {
+	var in struct {
+		N       int64 `json:"n"`
+		Members *struct {
+			Revision int64 `json:"revision"`
+			Complete bool  `json:"complete"`
+			Members  []struct {
+				ID       decision.EngineID `json:"id"`
+				HostPort string            `json:"host_port"`
+				Locality decision.Zone     `json:"locality"`
+				Flavor   decision.Kind     `json:"flavor"`
+				Cell     decision.Cell     `json:"cell"`
+				Phase    string            `json:"phase"`
+				Size     float64           `json:"size"`
+				UpSince  float64           `json:"up_since_ms"`
+			} `json:"members"`
+		} `json:"members"`
+	}
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return c, false, err
+	}
+	c.Number = in.N
+	if in.Members == nil {
+		return c, false, nil
+	}
+	c.Version, c.Complete = in.Members.Revision, in.Members.Complete
+	for _, m := range in.Members.Members {
+		state, err := settings.Word("phase", m.Phase, states)
+		if err != nil {
+			return c, false, err
+		}
+		if m.ID == "" {
+			return c, false, errors.New("a member without an id")
+		}
+		if err := settings.CheckAddress(m.HostPort); err != nil && state != decision.Gone {
+			return c, false, fmt.Errorf("host_port of %s: %w", m.ID, err)
+		}
+		started := time.Duration(0)
+		if up := time.UnixMilli(int64(m.UpSince)); m.UpSince > 0 && up.After(origin) {
+			started = min(up.Sub(origin), now.Sub(origin))
+		}
+		c.Members = append(c.Members, Member{Address: m.HostPort, Entry: decision.Entry{Engine: m.ID,
+			Zone: m.Locality, Kind: m.Flavor, Cell: m.Cell, State: state, Weight: m.Size, StartedAt: started}})
+	}
+	return c, true, nil
+}
+
+// Feed follows the control feed at an address.
+type Feed struct {
+	Address string
+	Origin  time.Time // of the module's clock
+	Last    int64     // number of the last event taken
+	Take    func(Change)
+	Log     *zap.Logger
+
+	skipped  int  // tries at the event that could not be read
+	gapAsked bool // a gap was asked for again already
+}
+
+// Follow follows the feed until ctx ends: a connection that ends or falls silent is made anew at once, then
+// with growing pauses while nothing comes.
+func (f *Feed) Follow(ctx context.Context) error {
+	pause := time.Duration(0)
+	for ctx.Err() == nil {
+		before := f.Last
+		began := time.Now()
+		err := f.once(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		if f.Last > before || time.Since(began) > silence {
+			pause = 0
+		}
+		f.Log.Warn("control feed lost, connecting anew", zap.Error(err), zap.Int64("last", f.Last), zap.Duration("pause", pause))
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		pause = min(pauseMost, max(pauseFirst, 2*pause))
+	}
+	return nil
+}
+
+// once follows the feed on one connection.
+func (f *Feed) once(ctx context.Context) error {
+	dial, cancel := context.WithTimeout(ctx, connectIn)
+	defer cancel()
+	raw, err := (&net.Dialer{}).DialContext(dial, "tcp", f.Address)
+	if err != nil {
+		return err
+	}
+	defer raw.Close()
+	defer context.AfterFunc(ctx, func() { raw.Close() })()
+	raw.SetDeadline(time.Now().Add(silence))
+	call := "GET /v1/events HTTP/1.1\r\nHost: " + f.Address + "\r\nAccept: text/event-stream\r\nLast-Event-ID: " +
+		strconv.FormatInt(f.Last, 10) + "\r\n\r\n"
+	if _, err := io.WriteString(raw, call); err != nil {
+		return err
+	}
+	reader := http1.NewReader(alive{raw})
+	head, err := reader.Head()
+	if err != nil {
+		return err
+	}
+	if head.Status != 200 {
+		return fmt.Errorf("control feed answered %d", head.Status)
+	}
+	return f.events(reader.Body(head))
+}
+
+// alive takes every byte as a sign of life.
+type alive struct{ net.Conn }
+
+func (a alive) Read(p []byte) (int, error) {
+	a.SetReadDeadline(time.Now().Add(silence))
+	return a.Conn.Read(p)
+}
+
+// events reads server-sent events until the stream ends or one calls for a new connection.
+func (f *Feed) events(body io.Reader) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4<<10), mostEvent)
+	lines.Split(splitLines)
+	var data []string
+	var id string
+	size, begun := 0, true
+	for lines.Scan() {
+		line := lines.Text()
+		if begun {
+			line, begun = strings.TrimPrefix(line, "\ufeff"), false
+		}
+		if line == "" {
+			if len(data) > 0 {
+				if err := f.event(id, strings.Join(data, "\n")); err != nil {
+					return err
+				}
+			}
+			data, id, size = nil, "", 0
+			continue
+		}
+		field, value, _ := strings.Cut(line, ":")
+		value = strings.TrimPrefix(value, " ")
+		switch field {
+		case "data":
+			if size += len(value); size > mostEvent {
+				return errors.New("event too large")
+			}
+			data = append(data, value)
+		case "id":
+			id = value
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// event takes one event: repeats are passed over, a gap is asked for again once.
+func (f *Feed) event(id, data string) error {
+	c, held, err := Parse([]byte(data), f.Origin, time.Now())
+	if n, bad := strconv.ParseInt(id, 10, 64); bad == nil {
+		c.Number = n
+	}
+	switch {
+	case err != nil:
+		if f.skipped++; f.skipped < mostErrors {
+			return fmt.Errorf("event %q: %w", id, err)
+		}
+		f.Log.Error("an event of the control feed is passed over", zap.String("id", id), zap.Error(err))
+		f.skipped = 0
+		f.Last = max(f.Last, c.Number)
+		return nil
+	case c.Number <= f.Last:
+		return nil
+	case c.Number > f.Last+1 && !f.gapAsked:
+		f.gapAsked = true
+		return fmt.Errorf("event %d after %d: asking for what is between", c.Number, f.Last)
+	}
+	f.Last, f.skipped, f.gapAsked = c.Number, 0, false
+	if held {
+		f.Take(c)
+	}
+	return nil
+}
+
+// splitLines splits at CR LF, LF or CR. A CR at the end of what was read waits for what follows.
+func splitLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	i := bytes.IndexAny(data, "\r\n")
+	switch {
+	case i < 0 && atEOF && len(data) > 0:
+		return len(data), data, nil
+	case i < 0:
+		return 0, nil, nil
+	case data[i] == '\n':
+		return i + 1, data[:i], nil
+	case i+1 < len(data) && data[i+1] == '\n':
+		return i + 2, data[:i], nil
+	case i+1 == len(data) && !atEOF:
+		return 0, nil, nil
+	}
+	return i + 1, data[:i], nil
+}
--- /dev/null
+++ b/internal/gateway/admit.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"bankledge/decision"
+	"bankledge/internal/front"
+	"bankledge/internal/sqltext"
+)
+
+// Admit: a statement's fields are read, once, into what the module hears of it. What cannot be used is
+// rejected, since it never ran.
+
+// The protocol's fields.
+const (
+	fieldID       = "i"
+	fieldWorkload = "c"
+	fieldTimeLeft = "d"
+	fieldGroup    = "t"
+	fieldResent   = "r"
+	fieldWork     = "h"
+	fieldMemory   = "heap_mb"
+)
+
+const (
+	idDigits  = 16
+	mostTime  = 24 * time.Hour // that a client may wait
+	mostGuess = 1e9            // of an estimate, in milliseconds or MB
+)
+
+// admit makes the record of a statement, or tells why there is none.
+func (g *Gateway) admit(f front.Fields, text []byte, taken time.Time) (*statement, decision.StatementArrived, string) {
+	var arrived decision.StatementArrived
+	id := f[fieldID]
+	if len(id) != idDigits || strings.Trim(id, "0123456789abcdefABCDEF") != "" {
+		return nil, arrived, "field i: not 16 hex digits"
+	}
+	workload, ok := g.workloads[f[fieldWorkload]]
+	if !ok {
+		return nil, arrived, "field c: unknown workload"
+	}
+	left, err := strconv.ParseFloat(f[fieldTimeLeft], 64)
+	if err != nil || !(left > 0) || left > float64(mostTime.Milliseconds()) {
+		return nil, arrived, "field d: not a time in milliseconds"
+	}
+	group := decision.MemberGroup(f[fieldGroup])
+	if len(g.groups) > 0 && !g.groups[group] {
+		return nil, arrived, "field t: unknown member group"
+	}
+	work, workOK := guess(f[fieldWork])
+	mem, memOK := guess(f[fieldMemory])
+	switch {
+	case !workOK:
+		return nil, arrived, "field h: not a number"
+	case !memOK:
+		return nil, arrived, "field heap_mb: not a number"
+	case f[fieldResent] != "" && f[fieldResent] != "1":
+		return nil, arrived, "field r: neither absent nor 1"
+	}
+	if g.texts.Add(int64(len(text))) > g.cfg.Limits.MemoryMB<<20/textShare {
+		g.texts.Add(-int64(len(text)))
+		return nil, arrived, "no memory left for the statement"
+	}
+	budget := time.Duration(left * float64(time.Millisecond))
+	arrived = decision.StatementArrived{Statement: decision.StatementID(id), Workload: workload, Group: group,
+		TimeBudget: budget, Estimate: time.Duration(work * float64(time.Millisecond)), NeedMB: mem,
+		Tables: decision.TableGroup(sqltext.TableGroup(string(text))), Resent: f[fieldResent] == "1",
+		Write: g.cfg.Opening.Workloads[workload].Load}
+	return &statement{id: arrived.Statement, workload: f[fieldWorkload], text: append([]byte(nil), text...),
+		taken: taken, ends: taken.Add(budget)}, arrived, ""
+}
+
+// guess reads an estimate; absent: 0.
+func guess(text string) (float64, bool) {
+	if text == "" {
+		return 0, true
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	return v, err == nil && v >= 0 && v <= mostGuess && !math.IsNaN(v)
+}
--- /dev/null
+++ b/internal/gateway/book.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bankledge/decision"
+	"bankledge/internal/front"
+)
+
+// Book: the records of statements, given back in one place, and the figures of what happened.
+
+// statement is the record of one statement. The route goroutine owns it once it is admitted.
+type statement struct {
+	id       decision.StatementID
+	workload string
+	text     []byte
+	client   *front.Conn
+	stream   uint32
+	taken    time.Time
+	ends     time.Time // the client gives up
+	over     bool      // answered, or nobody waits
+	out      int       // executions without an end
+	giveUp   []func()  // by execution
+}
+
+// close notes that a statement is over.
+func (r *route) close(s *statement) {
+	s.over = true
+	r.gateway.figures.open.Add(-1)
+	if s.out == 0 {
+		r.giveBack(s)
+	}
+}
+
+// executionEnded notes the end of an execution.
+func (r *route) executionEnded(s *statement, ev decision.ExecutionEnded) {
+	s.out--
+	r.gateway.figures.ended(ev.Outcome)
+	r.gateway.log.Debug("execution ended", zap.String("statement", string(s.id)), zap.Int("execution", int(ev.Execution)),
+		zap.String("engine", string(ev.Engine)), zap.String("workload", s.workload), zap.Int("outcome", int(ev.Outcome)),
+		zap.Duration("took", ev.Took), zap.Any("report", ev.Report))
+	if s.over && s.out == 0 {
+		r.giveBack(s)
+	}
+}
+
+// giveBack drops a record: the statement is over and none of its executions is out.
+func (r *route) giveBack(s *statement) {
+	if r.open[s.id] == s {
+		delete(r.open, s.id)
+	}
+	r.gateway.texts.Add(-int64(len(s.text)))
+}
+
+// post takes an input from an execution's goroutine. Once the route has ended nobody hears it.
+func (r *route) post(in input) {
+	in.at = time.Now()
+	select {
+	case r.inbox <- in:
+	case <-r.done:
+	}
+}
+
+// figures count what happened since the start.
+type figures struct {
+	taken, unfit, left, executions, probes atomic.Int64
+	completed, rejected, aborted           atomic.Int64
+	outcomes                               [decision.NeverSent + 1]atomic.Int64
+	open                                   atomic.Int64 // statements that are owed an answer
+	delays, delaySum, delayMost            atomic.Int64 // from an event to the actions it led to
+}
+
+func (f *figures) answered(code front.Code) {
+	switch code {
+	case completed:
+		f.completed.Add(1)
+	case rejected:
+		f.rejected.Add(1)
+	default:
+		f.aborted.Add(1)
+	}
+}
+
+func (f *figures) ended(o decision.Outcome) { f.outcomes[o].Add(1) }
+
+func (f *figures) delay(d time.Duration) {
+	f.delays.Add(1)
+	f.delaySum.Add(int64(d))
+	f.delayMost.Store(max(f.delayMost.Load(), int64(d))) // one goroutine writes
+}
+
+// report writes the figures to the log now and then, and at the end.
+func (g *Gateway) report(ctx context.Context) error {
+	tick := time.NewTicker(reportsEvery)
+	defer tick.Stop()
+	for {
+		ended := false
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			ended = true
+		}
+		f := &g.figures
+		outcomes := make([]int64, len(f.outcomes))
+		for i := range f.outcomes {
+			outcomes[i] = f.outcomes[i].Load()
+		}
+		n := max(1, f.delays.Swap(0))
+		g.log.Info("figures", zap.Int64("taken", f.taken.Load()), zap.Int64("open", f.open.Load()),
+			zap.Int64("completed", f.completed.Load()), zap.Int64("rejected", f.rejected.Load()),
+			zap.Int64("aborted", f.aborted.Load()), zap.Int64("left", f.left.Load()), zap.Int64("unfit", f.unfit.Load()),
+			zap.Int64("executions", f.executions.Load()), zap.Int64s("outcomes", outcomes), zap.Int64("probes", f.probes.Load()),
+			zap.Int("engine_connections", g.back.Descriptors()), zap.Int64("text_bytes", g.texts.Load()),
+			zap.Duration("delay_mean", time.Duration(f.delaySum.Swap(0)/n)),
+			zap.Duration("delay_most", time.Duration(f.delayMost.Swap(0))))
+		if ended {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,212 @@
+// Package gateway carries statements through their stages: take in, admit, route, send, relay, book. It joins
+// the clients' side and the engines' side, which know nothing of each other, around the decision module.
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"bankledge/decision"
+	"bankledge/internal/back"
+	"bankledge/internal/feed"
+	"bankledge/internal/front"
+	"bankledge/internal/settings"
+	"bankledge/policy"
+)
+
+// How the platform's limits are divided, and the times of a start and a stop.
+const (
+	clientShare  = 3         // clients hold one part in so many of the descriptors
+	ownSockets   = 24        // of the descriptors: listener, feed, log, the runtime's own
+	heapShare    = 0.6       // of the memory, where the runtime collects its garbage ever more eagerly
+	textShare    = 6         // statements' texts hold one part in so many of the memory
+	clockBefore  = time.Hour // the module's clock starts so long before the router
+	inboxSize    = 4096
+	reachPause   = 100 * time.Millisecond
+	lateComers   = time.Second     // after SIGTERM statements may come so long
+	stopMost     = 3 * time.Second // the longest statement timeout that a stop waits for
+	stopSlack    = 400 * time.Millisecond
+	stopLook     = 10 * time.Millisecond
+	reportsEvery = 5 * time.Second // lines of figures in the log
+)
+
+// Gateway is a router.
+type Gateway struct {
+	cfg    *settings.Config
+	log    *zap.Logger
+	origin time.Time // of the module's clock; it holds a monotonic reading
+	front  *front.Front
+	back   *back.Back
+	route  *route
+
+	workloads map[string]decision.WorkloadID
+	groups    map[decision.MemberGroup]bool
+	reached   atomic.Bool  // engines were seen to be in reach
+	stopping  atomic.Bool  // SIGTERM has come
+	texts     atomic.Int64 // bytes of statements' texts held
+	figures   figures
+}
+
+// New prepares a router; nothing runs yet.
+func New(cfg *settings.Config, log *zap.Logger) *Gateway {
+	o := cfg.Opening
+	g := &Gateway{cfg: cfg, log: log, origin: time.Now().Add(-clockBefore),
+		workloads: map[string]decision.WorkloadID{}, groups: map[decision.MemberGroup]bool{}}
+	for i, w := range o.Workloads {
+		g.workloads[w.Name] = decision.WorkloadID(i)
+	}
+	for _, s := range o.Shares.Groups {
+		g.groups[s.Group] = true
+	}
+	g.front = front.New(g, cfg.Limits.Sockets/clientShare, log)
+	g.route = &route{gateway: g, inbox: make(chan input, inboxSize), done: make(chan struct{}), open: map[decision.StatementID]*statement{},
+		module: policy.New(o.Identity, o.Workloads, o.Engines, o.Shares, o.Limits, o.Rules, o.Reports)}
+	return g
+}
+
+// Run serves until stop ends, and then until what was taken is answered.
+func (g *Gateway) Run(stop context.Context) error {
+	runtime.GOMAXPROCS(max(1, int(g.cfg.Limits.Cores+0.5)))
+	debug.SetMemoryLimit(int64(heapShare * float64(g.cfg.Limits.MemoryMB<<20)))
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	sockets := g.cfg.Opening.Sockets
+	g.back = back.New(ctx, g, g.cfg.Limits.Sockets-g.cfg.Limits.Sockets/clientShare-ownSockets,
+		sockets.IdleClose, sockets.ConnectTimeout, g.log)
+	listener, err := net.Listen("tcp", g.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	known, err := g.knownChanges()
+	if err != nil {
+		listener.Close()
+		return err
+	}
+	follow := &feed.Feed{Address: g.cfg.Feed, Origin: g.origin, Last: g.cfg.LastID, Log: g.log, Take: g.changed}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return g.route.run(ctx) })
+	group.Go(func() error { return g.back.Tend(ctx) })
+	group.Go(func() error { return g.front.Serve(ctx, listener) })
+	group.Go(func() error { return follow.Follow(ctx) })
+	group.Go(func() error { return g.reach(ctx, known) })
+	group.Go(func() error { return g.report(ctx) })
+	group.Go(func() error {
+		defer end()
+		defer listener.Close()
+		return g.awaitStop(ctx, stop, listener)
+	})
+	g.log.Info("serving", zap.String("name", g.cfg.Name), zap.String("listen", g.cfg.Listen),
+		zap.Int("engines", len(known)))
+	err = group.Wait()
+	g.log.Info("ended", zap.Error(err))
+	return err
+}
+
+// knownChanges hands the changes of the configuration to the module, before all else.
+func (g *Gateway) knownChanges() (engines []decision.EngineID, err error) {
+	for _, raw := range g.cfg.Known {
+		c, held, err := feed.Parse(raw, g.origin, time.Now())
+		if err != nil {
+			return nil, fmt.Errorf("known.events: %w", err)
+		}
+		g.cfg.LastID = max(g.cfg.LastID, c.Number)
+		if !held {
+			continue
+		}
+		g.list(c, decision.ListPersisted)
+		for _, m := range c.Members {
+			engines = append(engines, m.Engine)
+		}
+	}
+	return engines, nil
+}
+
+// changed takes a change from the control feed.
+func (g *Gateway) changed(c feed.Change) {
+	g.log.Info("engine list changed", zap.Int64("number", c.Number), zap.Any("members", c.Members))
+	g.list(c, decision.ListComplete)
+}
+
+func (g *Gateway) list(c feed.Change, whole decision.ListKind) {
+	ev := decision.EngineList{Kind: decision.ListPartial, Version: c.Version}
+	if c.Complete {
+		ev.Kind = whole
+	}
+	for _, m := range c.Members {
+		if m.State != decision.Gone {
+			g.back.Know(m.Engine, m.Address)
+		}
+		ev.Entries = append(ev.Entries, m.Entry)
+	}
+	g.route.post(input{event: ev})
+}
+
+// reach finds out at the start whether engines can be reached: one is enough.
+func (g *Gateway) reach(ctx context.Context, engines []decision.EngineID) error {
+	for !g.reached.Load() && ctx.Err() == nil {
+		for _, e := range engines {
+			if g.back.Reach(ctx, e) == nil {
+				g.reached.Store(true)
+			}
+		}
+		select {
+		case <-time.After(reachPause):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// awaitStop waits for the sign to stop. Then no client is to send new statements, those that come all the
+// same are answered, and the router ends when all are, or when its time is up.
+func (g *Gateway) awaitStop(ctx, stop context.Context, listener net.Listener) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-stop.Done():
+	}
+	longest := time.Duration(0)
+	for _, w := range g.cfg.Opening.Workloads {
+		longest = max(longest, w.StatementTimeout)
+	}
+	began, within := time.Now(), min(longest, stopMost)+stopSlack
+	g.log.Info("stopping", zap.Duration("within", within))
+	g.stopping.Store(true)
+	g.front.Stop()
+	g.route.post(input{event: decision.Stopping{Within: within - stopSlack/2}})
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(stopLook):
+		}
+		past := time.Since(began)
+		if past > lateComers {
+			listener.Close()
+		}
+		if past > within || past > lateComers && g.figures.open.Load() == 0 && g.front.Queued() == 0 {
+			return nil
+		}
+	}
+}
+
+// now is the module's clock.
+func (g *Gateway) now() time.Duration { return time.Since(g.origin) }
+
+// Check tells what is wrong with a configuration beyond its settings.
+func Check(cfg *settings.Config) error {
+	for i, raw := range cfg.Known {
+		if _, _, err := feed.Parse(raw, time.Unix(0, 0), time.Now()); err != nil {
+			return fmt.Errorf("known.events[%d]: %w", i, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/route.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"runtime/debug"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bankledge/decision"
+	"bankledge/policy"
+)
+
+// Route: one goroutine alone owns the module and the records of statements. It feeds the module batches of
+// events in the order they came, carries out its actions, and never waits for a socket.
+
+// input is one thing that happened.
+type input struct {
+	event  decision.Event
+	stmt   *statement // with an arrival
+	left   *stmtAt    // a client that waits no longer
+	result []byte     // with a completed execution
+	at     time.Time  // when it happened
+}
+
+type route struct {
+	gateway *Gateway
+	module  *policy.Module
+	inbox   chan input
+	done    chan struct{}                       // closed when nobody hears the inbox any more
+	open    map[decision.StatementID]*statement // those not given back yet
+	timers  []decision.SetTimer
+}
+
+// run feeds the module until ctx ends. Two calls are at least the settings' tick apart.
+func (r *route) run(ctx context.Context) error {
+	defer close(r.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	tick := r.gateway.cfg.Opening.Identity.Tick
+	for {
+		var batch []input
+		select {
+		case <-ctx.Done():
+			return nil
+		case in := <-r.inbox:
+			batch = append(batch, in)
+		case <-timer.C:
+		}
+		for n := len(r.inbox); n > 0; n-- {
+			batch = append(batch, <-r.inbox)
+		}
+		called := time.Now()
+		r.handle(batch)
+		r.backstop()
+		if rest := tick - time.Since(called); rest > 0 {
+			time.Sleep(rest)
+		}
+		timer.Reset(r.untilTimer())
+	}
+}
+
+func (r *route) untilTimer() time.Duration {
+	next := time.Second
+	for _, t := range r.timers {
+		next = min(next, t.At-r.gateway.now())
+	}
+	return max(0, next)
+}
+
+// handle hears a batch and carries out what the module answers.
+func (r *route) handle(batch []input) {
+	now := r.gateway.now()
+	events := make([]decision.Event, 0, len(batch)+1)
+	for _, in := range batch {
+		if ev := r.hear(in, now); ev != nil {
+			events = append(events, ev)
+		}
+	}
+	waiting := r.timers[:0]
+	for _, t := range r.timers {
+		if t.At <= now {
+			events = append(events, decision.TimerFired{Token: t.Token})
+		} else {
+			waiting = append(waiting, t)
+		}
+	}
+	r.timers = waiting
+	if len(events) == 0 {
+		return
+	}
+	for _, action := range r.decide(now, events) {
+		r.carryOut(action)
+	}
+	for _, in := range batch {
+		if !in.at.IsZero() {
+			r.gateway.figures.delay(time.Since(in.at))
+		}
+	}
+}
+
+// decide calls the module. A panic there loses this batch's actions and no more: the router goes on with the
+// module as it is, and the backstop answers whoever it has forgotten.
+func (r *route) decide(now time.Duration, events []decision.Event) (actions []decision.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			r.gateway.log.Error("the module failed", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+			r.timers = append(r.timers, decision.SetTimer{Token: "again", At: now})
+		}
+	}()
+	return r.module.Handle(now, events)
+}
+
+// hear does the book's part of an input and returns the module's event, or nil if it is of no concern to it.
+func (r *route) hear(in input, now time.Duration) decision.Event {
+	if in.left != nil {
+		for _, s := range r.open {
+			if s.client == in.left.client && s.stream == in.left.stream && !s.over {
+				r.endUnanswered(s)
+				return decision.ClientLeft{Statement: s.id}
+			}
+		}
+		return nil
+	}
+	switch ev := in.event.(type) {
+	case decision.StatementArrived:
+		if r.open[ev.Statement] != nil { // its id is in use: this one never ran
+			r.answer(in.stmt, rejected, []byte("id is in use"))
+			r.giveBack(in.stmt)
+			return nil
+		}
+		r.open[ev.Statement] = in.stmt
+		ev.TimeBudget = in.stmt.ends.Sub(r.gateway.origin) - now // less what has passed since it was taken
+		return ev
+	case decision.ExecutionEnded:
+		s := r.open[ev.Statement]
+		if s == nil {
+			return nil
+		}
+		if ev.Outcome == decision.Completed {
+			r.relay(s, in.result)
+		}
+		ev.Over = s.over
+		r.executionEnded(s, ev)
+		return ev
+	}
+	return in.event
+}
+
+// backstop aborts what the module has left without an answer past its time, which only a fault of the
+// module can do. An abort promises nothing, so it is always true.
+func (r *route) backstop() {
+	now := time.Now()
+	for _, s := range r.open {
+		if !s.over && now.After(s.ends) {
+			r.gateway.log.Error("a statement was left without an answer", zap.String("statement", string(s.id)))
+			r.answer(s, aborted, nil)
+			r.handle([]input{{event: decision.ClientLeft{Statement: s.id}}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"go.uber.org/zap"
+
+	"bankledge/decision"
+	"bankledge/internal/back"
+)
+
+// Send: the module's actions are carried out, in its order. None of them waits.
+
+func (r *route) carryOut(action decision.Action) {
+	log := r.gateway.log
+	switch a := action.(type) {
+	case decision.Execute:
+		r.execute(a)
+	case decision.Cancel:
+		if s := r.open[a.Statement]; s != nil && int(a.Execution) < len(s.giveUp) {
+			s.giveUp[a.Execution]()
+		}
+	case decision.Reject:
+		if s := r.open[a.Statement]; s != nil {
+			r.answer(s, rejected, nil) // the protocol has no field for RetryIn
+		}
+	case decision.Abort:
+		if s := r.open[a.Statement]; s != nil {
+			r.answer(s, aborted, nil)
+		}
+	case decision.Probe:
+		r.gateway.figures.probes.Add(1)
+		r.gateway.back.Probe(a.Engine)
+	case decision.CloseIdle:
+		r.gateway.back.CloseIdle(a.Engine)
+	case decision.SetTimer:
+		r.timers = append(r.timers, a)
+	case decision.Log:
+		log.Info("module", zap.String("says", a.Text))
+	case decision.Crash:
+		log.Error("the module reports a failure", zap.String("says", a.Text))
+	case decision.FollowList, decision.FetchList, decision.SetTerms, decision.TellPeers:
+		// The control feed is always followed; the protocol has no words for terms and for other routers.
+	default:
+		log.Error("an action that cannot be carried out", zap.Any("action", action))
+	}
+}
+
+func (r *route) execute(a decision.Execute) {
+	s := r.open[a.Statement]
+	if s == nil || s.over {
+		r.gateway.log.Error("an execution of a statement that is over", zap.String("statement", string(a.Statement)))
+		return
+	}
+	until := s.ends
+	if a.Timeout > 0 && r.gateway.origin.Add(r.gateway.now()+a.Timeout).Before(until) {
+		until = r.gateway.origin.Add(r.gateway.now() + a.Timeout)
+	}
+	order := back.Order{Statement: s.id, Execution: decision.ExecutionID(len(s.giveUp)), Engine: a.Engine,
+		Workload: s.workload, Text: s.text, Until: until}
+	s.out++
+	r.gateway.figures.executions.Add(1)
+	s.giveUp = append(s.giveUp, r.gateway.back.Execute(order))
+}
+
+// Noted hears a note of an execution, from its goroutine.
+func (g *Gateway) Noted(ev decision.ExecutionNoted) { g.route.post(input{event: ev}) }
+
+// Ended hears the end of an execution, from its goroutine.
+func (g *Gateway) Ended(ev decision.ExecutionEnded, result []byte) {
+	g.route.post(input{event: ev, result: result})
+}
+
+// Probed hears the end of a probe, from its goroutine.
+func (g *Gateway) Probed(ev decision.ProbeEnded) { g.route.post(input{event: ev}) }
--- /dev/null
+++ b/internal/gateway/takein.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"time"
+
+	"bankledge/internal/front"
+)
+
+// Take in: what clients send comes here from their connections' goroutines, is admitted or answered, and
+// goes to the route stage in the order in which it came.
+
+// TakeIn takes a statement that has come whole.
+func (g *Gateway) TakeIn(c *front.Conn, stream uint32, fields front.Fields, text []byte) {
+	taken := time.Now()
+	g.figures.taken.Add(1)
+	stmt, arrived, why := g.admit(fields, text, taken)
+	if why != "" {
+		g.figures.unfit.Add(1)
+		c.Answer(stream, front.CodeRejected, []byte(why))
+		return
+	}
+	stmt.client, stmt.stream = c, stream
+	g.figures.open.Add(1)
+	g.route.post(input{event: arrived, stmt: stmt})
+}
+
+// Left tells that the client waits no longer for these streams.
+func (g *Gateway) Left(c *front.Conn, streams []uint32) {
+	for _, stream := range streams {
+		g.route.post(input{left: &stmtAt{c, stream}})
+	}
+}
+
+// Ready tells whether the router may be sent statements.
+func (g *Gateway) Ready() bool { return g.reached.Load() && !g.stopping.Load() }
+
+// stmtAt is where a statement came from.
+type stmtAt struct {
+	client *front.Conn
+	stream uint32
+}
--- a/internal/simwire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,6 @@
-package simwire
+// Package settings reads what an instance is told at its start: the settings object, which the simulator's
+// wire and a router's configuration share, and the configuration around it. It decides nothing.
+package settings
 
 import (
 	"encoding/json"
@@ -17,6 +19,13 @@
 	Limits    decision.Limits
 	Rules     decision.Rules
 	Reports   decision.Reports
+	Sockets   Sockets
+}
+
+// Sockets is what only a router on sockets needs.
+type Sockets struct {
+	ConnectTimeout time.Duration // a connection that is not up by then counts as refused
+	IdleClose      time.Duration // engines close idle connections after this
 }
 
 // info is the settings object; keys that it does not name are skipped.
@@ -29,6 +38,9 @@
 		MaxRetryAfter micro `json:"maxRetryAfter"`
 		MaxAttempts   int   `json:"maxAttempts"`
 		MaxOpen       int   `json:"maxOpen"`
+
+		ConnectTimeout micro `json:"connectTimeout"`
+		IdleClose      micro `json:"idleClose"`
 	} `json:"bounds"`
 	Classes []struct {
 		Name         string          `json:"name"`
@@ -94,14 +106,23 @@
 		"shrink": decision.ShortageShrink, "page": decision.ShortagePage}
 	paths = map[string]decision.ReportPath{"": decision.ReportsOff, "off": decision.ReportsOff,
 		"inline": decision.ReportsInAnswers, "on_probe": decision.ReportsByProbe}
-	fields = map[string]decision.Field{"concurrent": decision.FieldInFlight, "depth": decision.FieldQueue,
+	// Fields maps the words for a load report's fields.
+	Fields = map[string]decision.Field{"concurrent": decision.FieldInFlight, "depth": decision.FieldQueue,
 		"load_share": decision.FieldUtilisation, "mean_ms": decision.FieldLatencyMS,
 		"tps": decision.FieldPerSec, "err_ps": decision.FieldErrorsPerSec,
 		"x0": decision.FieldMemory, "x1": decision.FieldDisks}
+	// Gauges maps the words for the same in an engine's answers; a router's settings may use either.
+	Gauges = map[string]decision.Field{"inflight": decision.FieldInFlight, "queue": decision.FieldQueue,
+		"util": decision.FieldUtilisation, "latency_ms": decision.FieldLatencyMS, "qps": decision.FieldPerSec,
+		"eps": decision.FieldErrorsPerSec, "x0": decision.FieldMemory, "x1": decision.FieldDisks,
+		"concurrent": decision.FieldInFlight, "depth": decision.FieldQueue,
+		"load_share": decision.FieldUtilisation, "mean_ms": decision.FieldLatencyMS,
+		"tps": decision.FieldPerSec, "err_ps": decision.FieldErrorsPerSec}
 	discoveries = map[string]bool{"": false, "pushed": false, "on_request": true}
 )
 
-func word[T any](what, w string, words map[string]T) (T, error) {
+// Word looks up one of the wire's words.
+func Word[T any](what, w string, words map[string]T) (T, error) {
 	v, ok := words[w]
 	if !ok {
 		return v, fmt.Errorf("%s: unknown word %q", what, w)
@@ -116,8 +137,8 @@
 	return otherwise
 }
 
-// opening turns the wire's settings into the module's.
-func opening(seed uint64, raw json.RawMessage) (*Opening, error) {
+// Open turns the wire's settings into the module's.
+func Open(seed uint64, raw json.RawMessage) (*Opening, error) {
 	var in info
 	if err := json.Unmarshal(raw, &in); err != nil {
 		return nil, fmt.Errorf("info: %w", err)
@@ -138,19 +159,20 @@
 			ColdWindow: in.Guarantees.Fall.span(), KeyRest: in.Guarantees.KeyRest.span(),
 			FurtherWindow: in.Guarantees.RatioSpan.span(), FurtherFree: in.Guarantees.BudgetFree,
 			FurtherShare: in.Guarantees.BudgetShare},
+		Sockets: Sockets{ConnectTimeout: in.Bounds.ConnectTimeout.span(), IdleClose: in.Bounds.IdleClose.span()},
 	}
 	var err error
-	if o.Limits.ListOnRequest, err = word("discovery", in.Discovery, discoveries); err != nil {
+	if o.Limits.ListOnRequest, err = Word("discovery", in.Discovery, discoveries); err != nil {
 		return nil, err
 	}
-	if o.Engines.OnShortage, err = word("onShortage", in.Extra.OnShortage, shortages); err != nil {
+	if o.Engines.OnShortage, err = Word("onShortage", in.Extra.OnShortage, shortages); err != nil {
 		return nil, err
 	}
-	if o.Reports.Path, err = word("feedback.via", in.Feedback.Via, paths); err != nil {
+	if o.Reports.Path, err = Word("feedback.via", in.Feedback.Via, paths); err != nil {
 		return nil, err
 	}
 	for _, f := range in.Feedback.Fields {
-		field, err := word("feedback.fields", f, fields)
+		field, err := Word("feedback.fields", f, Fields)
 		if err != nil {
 			return nil, err
 		}
@@ -169,10 +191,10 @@
 			DedupWindow: c.Window.span(), InOrder: c.Sequential, Zones: c.AreasAllowed, Kinds: c.AllowedOn,
 			Threads: at(in.Extra.ThreadsByClass, i, 0), Load: at(in.Extra.WritesTables, i, false),
 			WaitsForLoads: at(in.Extra.WaitsForLoads, i, false)}
-		if w.Effect, err = word("classes[].idempotency", c.Idempotency, effects); err != nil {
+		if w.Effect, err = Word("classes[].idempotency", c.Idempotency, effects); err != nil {
 			return nil, err
 		}
-		if w.DedupScope, err = word("classes[].group", c.Group, scopes); err != nil {
+		if w.DedupScope, err = Word("classes[].group", c.Group, scopes); err != nil {
 			return nil, err
 		}
 		o.Workloads = append(o.Workloads, w)
--- a/internal/simwire/wire.go
+++ b/internal/simwire/wire.go
@@ -12,11 +12,12 @@
 	"time"
 
 	"bankledge/decision"
+	"bankledge/internal/settings"
 )
 
 // Input is one event for one instance: an opening, a stop, or what the module itself takes.
 type Input struct {
-	Open  *Opening
+	Open  *settings.Opening
 	Stop  bool
 	Event decision.Event
 }
@@ -136,7 +137,7 @@
 			}
 			seed = uint64(signed)
 		}
-		o, err := opening(seed, m.Info)
+		o, err := settings.Open(seed, m.Info)
 		if err != nil {
 			return nil, err
 		}
@@ -183,7 +184,7 @@
 	}
 	entries := make([]decision.Entry, 0, len(m.Rows))
 	for _, r := range m.Rows {
-		state, err := word("status", r.Status, states)
+		state, err := settings.Word("status", r.Status, states)
 		if err != nil {
 			return err
 		}
@@ -208,7 +209,7 @@
 		if err := strict(raw, &m); err != nil {
 			return nil, err
 		}
-		kind, err := word("scope", m.Scope, listKinds)
+		kind, err := settings.Word("scope", m.Scope, listKinds)
 		if err != nil {
 			return nil, err
 		}
@@ -251,7 +252,7 @@
 		if err := strict(raw, &m); err != nil {
 			return nil, err
 		}
-		outcome, err := word("ending", m.Ending, outcomes)
+		outcome, err := settings.Word("ending", m.Ending, outcomes)
 		if err != nil {
 			return nil, err
 		}
@@ -285,7 +286,7 @@
 		if err := strict(raw, &m); err != nil {
 			return nil, err
 		}
-		outcome, err := word("ending", m.Ending, outcomes)
+		outcome, err := settings.Word("ending", m.Ending, outcomes)
 		if err != nil {
 			return nil, err
 		}
@@ -346,7 +347,7 @@
 	if m.Corr == "" || m.TimeBudget == nil {
 		return nil, errors.New("corr or timeBudget is missing")
 	}
-	wlm, err := word("kind", m.Kind, n.workloads)
+	wlm, err := settings.Word("kind", m.Kind, n.workloads)
 	if err != nil {
 		return nil, err
 	}
@@ -382,3 +383,8 @@
 	}
 	return r, nil
 }
+
+// micro is a time on the wire: whole microseconds.
+type micro int64
+
+func (m micro) span() time.Duration { return time.Duration(m) * time.Microsecond }
