An execution holds its connection, is revoked before an answer, is given up beside its poll

An execution gave its connection back between polls and had to fight for another; and a cancel only interrupted what already had its connection. Ruled out: the module (its outs were far fewer than the connections), delays in route (0.7 ms mean). Now an execution keeps its connection; close() revokes what has not been sent before the answer is queued; DELETE goes beside the poll.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -66,6 +66,9 @@
 // Descriptors is how many are in use.
 func (b *Back) Descriptors() int { return b.pool.held() }
 
+// Dials tells of the connections made since the last call.
+func (b *Back) Dials() Dials { return b.pool.counted() }
+
 // Reach makes a connection to an engine and keeps it for later use.
 func (b *Back) Reach(ctx context.Context, engine decision.EngineID) error {
 	c, err := b.pool.get(ctx, engine, true)
@@ -91,7 +94,7 @@
 	if err != nil {
 		return decision.NotConnected, nil
 	}
-	head, _, _, err := c.do(b.ctx, until, message("GET", "/busy", c.address, nil))
+	head, _, _, err := c.do(until, message("GET", "/busy", c.address, nil))
 	switch {
 	case isTimeout(err):
 		b.pool.drop(c)
@@ -120,18 +123,18 @@
 	Until     time.Time // the router waits no longer
 }
 
-// Execute starts an execution; the listener hears its notes and its one end. The returned call gives it
-// up, and may be made at any time.
-func (b *Back) Execute(order Order) (giveUp func()) {
+// Execute starts an execution; the listener hears its notes and its one end.
+func (b *Back) Execute(order Order) *Execution {
 	ctx, cancel := context.WithCancel(b.ctx)
-	x := &execution{back: b, Order: order, path: "/x/" + string(order.Statement), sent: time.Now()}
+	x := &Execution{back: b, Order: order, path: "/x/" + string(order.Statement), sent: time.Now(),
+		ctx: ctx, cancel: cancel}
 	b.running.Go(func() {
 		defer cancel()
-		outcome, result := x.run(ctx)
-		b.listener.Ended(decision.ExecutionEnded{Statement: order.Statement, Execution: order.Execution,
-			Engine: order.Engine, Outcome: outcome, Took: time.Since(x.sent), Report: x.report}, result)
+		if outcome, result, known := x.run(); known {
+			x.end(outcome, x.report, result)
+		}
 	})
-	return cancel
+	return x
 }
 
 func millis(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -11,158 +13,217 @@
 	"bankledge/internal/http1"
 )
 
-// execution is one statement on one engine: started once, then polled until its end, then its pages.
-type execution struct {
+// Execution is one statement on one engine: started once, then polled until its end, then its pages. It
+// holds one connection while it is out.
+type Execution struct {
 	back *Back
 	Order
 	path   string
 	sent   time.Time
-	asked  time.Time // when the engine was last asked for it, at the latest
+	ctx    context.Context // ends when it is revoked or given up
+	cancel context.CancelFunc
+	stage  atomic.Int32 // waiting, then started or revoked
+	asked  atomic.Int64 // Unix nanoseconds when the engine was last asked for it, at the latest
+	ended  sync.Once
+	conn   *conn // the one it holds, if any; the running goroutine's
 	report *decision.Report
 }
 
-// run brings an execution to its outcome. A result is whole or there is none.
-func (x *execution) run(ctx context.Context) (decision.Outcome, []byte) {
-	left := time.Until(x.Until)
-	if left < time.Millisecond || ctx.Err() != nil {
-		return decision.NeverSent, nil
+const (
+	waiting int32 = iota
+	started
+	revoked
+)
+
+// Revoke keeps an execution from being started, if it has not been; nothing of it goes out after this call.
+// It tells whether it did.
+func (x *Execution) Revoke() bool {
+	if !x.stage.CompareAndSwap(waiting, revoked) {
+		return false
 	}
-	c, err := x.back.pool.get(ctx, x.Engine, false)
-	switch {
-	case ctx.Err() != nil || errors.Is(err, errNoSlot) || errors.Is(err, errNoEngine):
-		if c != nil {
-			x.back.pool.put(c)
+	x.cancel() // ends the wait for a connection
+	return true
+}
+
+// GiveUp waits for an execution no longer. Its end is told when it is out no longer, which takes a call to
+// the engine, unless another end comes first.
+func (x *Execution) GiveUp() {
+	if x.Revoke() || x.ctx.Err() != nil {
+		return
+	}
+	x.cancel()
+	x.back.running.Go(func() {
+		x.callOff()
+		x.end(decision.Cancelled, nil, nil)
+	})
+}
+
+// end tells the listener how the execution ended, once.
+func (x *Execution) end(outcome decision.Outcome, report *decision.Report, result []byte) {
+	x.ended.Do(func() {
+		x.back.listener.Ended(decision.ExecutionEnded{Statement: x.Statement, Execution: x.Order.Execution,
+			Engine: x.Engine, Outcome: outcome, Took: time.Since(x.sent), Report: report}, result)
+	})
+}
+
+var (
+	errProcessGone = errors.New("the engine's process is gone")
+	errTimeUp      = errors.New("the execution's time is up")
+	errGivenUp     = errors.New("the execution was given up")
+	errNoPage      = errors.New("a page of the result cannot be had")
+)
+
+// run brings an execution to its outcome. A result is whole or there is none. Of one that is given up while
+// it is out, the call that gives it up tells the end.
+func (x *Execution) run() (outcome decision.Outcome, result []byte, known bool) {
+	c, err := x.back.pool.get(x.ctx, x.Engine, false)
+	if err != nil {
+		if x.ctx.Err() != nil || errors.Is(err, errNoSlot) || errors.Is(err, errNoEngine) {
+			return decision.NeverSent, nil, true
 		}
-		return decision.NeverSent, nil
-	case err != nil: // refused, or not up in time: it proves that nothing ran
-		return decision.NotConnected, nil
+		return decision.NotConnected, nil, true // refused, or not up in time: it proves that nothing ran
 	}
-	if left = time.Until(x.Until); left < time.Millisecond {
-		x.back.pool.put(c)
-		return decision.NeverSent, nil
+	x.conn = c
+	defer func() { x.release(x.conn != nil) }()
+	left := time.Until(x.Until)
+	if left < time.Millisecond || !x.stage.CompareAndSwap(waiting, started) {
+		return decision.NeverSent, nil, true
 	}
-	start := message("POST", "/x", c.address, x.Text, fieldID, string(x.Statement), fieldWorkload, x.Workload,
-		fieldLimit, millis(left), "Content-Length", strconv.Itoa(len(x.Text)))
-	head, body, whole, err := x.ask(ctx, c, start)
+	head, body, whole, err := x.ask(message("POST", "/x", c.address, x.Text, fieldID, string(x.Statement),
+		fieldWorkload, x.Workload, fieldLimit, millis(left), "Content-Length", strconv.Itoa(len(x.Text))))
 	if !whole { // part of it cannot run
-		return decision.NotConnected, nil
+		return decision.NotConnected, nil, true
 	}
 	// What was started is never started again here: a broken connection is followed by polls on others.
 	for {
 		if err == nil {
 			said := read(head)
-			if said.over {
-				if x.report = said.report; said.outcome != decision.Completed {
-					return said.outcome, nil
-				}
-				return x.collect(ctx, body, said.pages)
+			if said.over && said.outcome == decision.Completed {
+				body, err = x.collect(body, said.pages)
+			}
+			if said.over && err == nil {
+				x.report = said.report
+				return said.outcome, body, true
 			}
 			if said.note != nil {
-				said.note.Statement, said.note.Execution, said.note.Engine = x.Statement, x.Execution, x.Engine
+				said.note.Statement, said.note.Execution, said.note.Engine = x.Statement, x.Order.Execution, x.Engine
 				x.back.listener.Noted(*said.note)
 			}
 		}
-		if !errors.Is(err, http1.ErrMalformed) {
-			head, body, err = x.poll(ctx, "/0")
+		if err == nil || !isFinal(err) {
+			head, body, err = x.poll("/0")
 		}
 		switch {
-		case errors.Is(err, http1.ErrMalformed): // garbage: it may have run, and runs no longer
-			x.giveUp()
-			return decision.Errored, nil
+		case errors.Is(err, errGivenUp):
+			return 0, nil, false
 		case errors.Is(err, errProcessGone):
-			return decision.Reset, nil
-		case err != nil && ctx.Err() != nil:
-			x.giveUp()
-			return decision.Cancelled, nil
-		case err != nil && !time.Now().Before(x.Until):
-			x.giveUp()
-			return decision.TimedOut, nil
+			return decision.Reset, nil, true
+		case errors.Is(err, errTimeUp):
+			x.callOff()
+			return decision.TimedOut, nil, true
+		case err != nil: // garbage, or pages that are not to be had: it may have run, and runs no longer
+			x.callOff()
+			return decision.Errored, nil, true
 		}
 	}
 }
 
-// ask makes one call on a connection, bounded by the poll's time and the execution's, and gives the
-// connection back.
-func (x *execution) ask(ctx context.Context, c *conn, call []byte) (http1.Head, []byte, bool, error) {
-	until := time.Now().Add(pollHeld + pollSlack)
+// isFinal tells errors after which nothing is asked again from those of one connection.
+func isFinal(err error) bool {
+	return errors.Is(err, errGivenUp) || errors.Is(err, errProcessGone) || errors.Is(err, errTimeUp) ||
+		errors.Is(err, errNoPage) || errors.Is(err, http1.ErrMalformed)
+}
+
+// ask makes one call on the connection that the execution holds, bounded by the poll's time and its own.
+func (x *Execution) ask(call []byte) (http1.Head, []byte, bool, error) {
+	now := time.Now()
+	until := now.Add(pollHeld + pollSlack)
 	if x.Until.Before(until) {
 		until = x.Until
 	}
-	x.asked = time.Now()
-	head, body, whole, err := c.do(ctx, until, call)
+	x.asked.Store(now.UnixNano())
+	head, body, whole, err := x.conn.do(until, call)
 	if err != nil || head.Close {
-		x.back.pool.drop(c)
-	} else {
-		x.back.pool.put(c)
+		x.release(false)
 	}
 	return head, body, whole, err
 }
 
-var errProcessGone = errors.New("the engine's process is gone")
+// release gives the connection back: the one place where an execution does.
+func (x *Execution) release(usable bool) {
+	switch {
+	case x.conn == nil:
+	case usable:
+		x.back.pool.put(x.conn)
+	default:
+		x.back.pool.drop(x.conn)
+	}
+	x.conn = nil
+}
 
 // poll asks for news or a page until there is an answer: on another connection when one breaks or hangs.
-func (x *execution) poll(ctx context.Context, what string) (head http1.Head, body []byte, err error) {
-	for fresh := false; ctx.Err() == nil && time.Now().Before(x.Until); fresh = true {
-		var c *conn
-		if c, err = x.back.pool.get(ctx, x.Engine, fresh); err != nil {
+func (x *Execution) poll(what string) (head http1.Head, body []byte, err error) {
+	for fresh := false; ; fresh = true {
+		switch {
+		case x.ctx.Err() != nil:
+			return head, nil, errGivenUp
+		case !time.Now().Before(x.Until):
+			return head, nil, errTimeUp
+		}
+		if x.conn == nil {
+			c, err := x.back.pool.get(x.ctx, x.Engine, fresh)
 			if errors.Is(err, syscall.ECONNREFUSED) { // nobody listens: what ran there is gone
 				return head, nil, errProcessGone
 			}
-			x.pause(ctx)
-			continue
-		}
-		if head, body, _, err = x.ask(ctx, c, message("GET", x.path+what, c.address, nil)); err == nil {
-			return head, body, nil
+			if err != nil {
+				x.pause()
+				continue
+			}
+			x.conn = c
 		}
-		if errors.Is(err, http1.ErrMalformed) {
-			return head, nil, err
+		head, body, _, err = x.ask(message("GET", x.path+what, x.conn.address, nil))
+		if err == nil || errors.Is(err, http1.ErrMalformed) {
+			return head, body, err
 		}
 		if fresh {
-			x.pause(ctx)
+			x.pause()
 		}
 	}
-	return head, nil, errors.Join(err, context.DeadlineExceeded)
 }
 
-func (x *execution) pause(ctx context.Context) {
+func (x *Execution) pause() {
 	select {
 	case <-time.After(askAgain):
-	case <-ctx.Done():
+	case <-x.ctx.Done():
 	}
 }
 
 // collect fetches all further pages and puts the rows together, unchanged and in order.
-func (x *execution) collect(ctx context.Context, first []byte, pages int) (decision.Outcome, []byte) {
-	result := first
+func (x *Execution) collect(result []byte, pages int) ([]byte, error) {
 	for page := 0; ; page++ {
 		if n := len(result); n > mostResult || n > 0 && result[n-1] != '\n' {
-			return decision.Errored, nil
+			return nil, errNoPage
 		}
 		if page+1 == pages {
-			return decision.Completed, result
+			return result, nil
 		}
 		number := strconv.Itoa(page + 1)
-		head, body, err := x.poll(ctx, "/"+number)
-		switch {
-		case errors.Is(err, errProcessGone):
-			return decision.Reset, nil
-		case err != nil && ctx.Err() != nil:
-			return decision.Cancelled, nil // it is over at the engine
-		case errors.Is(err, http1.ErrMalformed):
-			return decision.Errored, nil
-		case err != nil:
-			return decision.TimedOut, nil
-		case head.Status != 200 || head.Get(fieldPage) != number:
-			return decision.Errored, nil
+		head, body, err := x.poll("/" + number)
+		if err != nil {
+			return nil, err
+		}
+		if head.Status != 200 || head.Get(fieldPage) != number {
+			return nil, errNoPage
 		}
 		result = append(result, body...)
 	}
 }
 
-// giveUp makes sure that the execution is out no longer: the engine has heard so, its process is gone, or
+// callOff makes sure that the execution is out no longer: the engine has heard so, its process is gone, or
 // it must have dropped what it was not asked for.
-func (x *execution) giveUp() {
-	ctx, cancel := context.WithDeadline(x.back.ctx, x.asked.Add(pollHeld+forgets+forgetOff))
+func (x *Execution) callOff() {
+	asked := time.Unix(0, x.asked.Load())
+	ctx, cancel := context.WithDeadline(x.back.ctx, asked.Add(pollHeld+forgets+forgetOff))
 	defer cancel()
 	for ctx.Err() == nil {
 		c, err := x.back.pool.get(ctx, x.Engine, false)
@@ -170,8 +231,7 @@
 			return
 		}
 		if err == nil {
-			until := time.Now().Add(pollHeld + pollSlack)
-			head, _, _, err := c.do(ctx, until, message("DELETE", x.path, c.address, nil))
+			head, _, _, err := c.do(time.Now().Add(pollHeld+pollSlack), message("DELETE", x.path, c.address, nil))
 			if err != nil || head.Close {
 				x.back.pool.drop(c)
 			} else {
@@ -181,6 +241,9 @@
 				return
 			}
 		}
-		x.pause(ctx)
+		select {
+		case <-time.After(askAgain):
+		case <-ctx.Done():
+		}
 	}
 }
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -24,14 +24,8 @@
 }
 
 // do writes one call and reads its answer. whole tells whether the call may have come whole to the engine.
-func (c *conn) do(ctx context.Context, until time.Time, call []byte) (head http1.Head, body []byte, whole bool, err error) {
+func (c *conn) do(until time.Time, call []byte) (head http1.Head, body []byte, whole bool, err error) {
 	c.raw.SetDeadline(until)
-	stop := context.AfterFunc(ctx, func() { c.raw.SetDeadline(time.Unix(1, 0)) })
-	defer func() {
-		if !stop() { // the deadline of the past may yet be set: not for another call
-			err = errors.Join(err, context.Cause(ctx))
-		}
-	}()
 	if n, err := c.raw.Write(call); err != nil {
 		return head, nil, n == len(call), err
 	}
@@ -69,9 +63,31 @@
 	address map[decision.EngineID]string
 	idle    map[decision.EngineID][]*conn // the latest used last
 	waiting int                           // for a slot
+	dials   Dials
 	closed  bool
 }
 
+// Dials counts connections made since the last look, and why others were dropped.
+type Dials struct {
+	Made, Failed, Stale, Broken, Crowded int
+	Longest                              time.Duration // that one took to come up
+}
+
+// counted looks at the counts and begins anew.
+func (p *pool) counted() Dials {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	d := p.dials
+	p.dials = Dials{}
+	return d
+}
+
+func (p *pool) count(f func(*Dials)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f(&p.dials)
+}
+
 var (
 	errNoEngine = errors.New("no such engine")
 	errNoSlot   = errors.New("all descriptors for engines are in use")
@@ -105,6 +121,7 @@
 		if time.Since(c.idle) < p.idleMost && c.alive() {
 			return c, nil
 		}
+		p.count(func(d *Dials) { d.Stale++ })
 		p.drop(c)
 	}
 	if err := p.slot(ctx); err != nil {
@@ -117,7 +134,14 @@
 		<-p.slots
 		return nil, errNoEngine
 	}
+	began := time.Now()
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	p.count(func(d *Dials) {
+		d.Longest = max(d.Longest, time.Since(began))
+		if d.Made++; err != nil {
+			d.Failed++
+		}
+	})
 	if err != nil {
 		<-p.slots
 		return nil, err
@@ -186,6 +210,9 @@
 		c.idle = time.Now()
 		p.idle[c.engine] = append(p.idle[c.engine], c)
 	}
+	if !keep {
+		p.dials.Crowded++
+	}
 	p.mu.Unlock()
 	if !keep {
 		p.drop(c)
--- a/internal/gateway/book.go
+++ b/internal/gateway/book.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"bankledge/decision"
+	"bankledge/internal/back"
 	"bankledge/internal/front"
 )
 
@@ -24,12 +25,16 @@
 	ends     time.Time // the client gives up
 	over     bool      // answered, or nobody waits
 	out      int       // executions without an end
-	giveUp   []func()  // by execution
+	execs    []*back.Execution
 }
 
-// close notes that a statement is over.
+// close notes that a statement is over. What has not been sent yet will not be, before its client can know
+// of the end.
 func (r *route) close(s *statement) {
 	s.over = true
+	for _, x := range s.execs {
+		x.Revoke()
+	}
 	r.gateway.figures.open.Add(-1)
 	if s.out == 0 {
 		r.giveBack(s)
@@ -114,7 +119,7 @@
 			zap.Int64("completed", f.completed.Load()), zap.Int64("rejected", f.rejected.Load()),
 			zap.Int64("aborted", f.aborted.Load()), zap.Int64("left", f.left.Load()), zap.Int64("unfit", f.unfit.Load()),
 			zap.Int64("executions", f.executions.Load()), zap.Int64s("outcomes", outcomes), zap.Int64("probes", f.probes.Load()),
-			zap.Int("engine_connections", g.back.Descriptors()), zap.Int64("text_bytes", g.texts.Load()),
+			zap.Int("engine_connections", g.back.Descriptors()), zap.Any("dials", g.back.Dials()), zap.Int64("text_bytes", g.texts.Load()),
 			zap.Duration("delay_mean", time.Duration(f.delaySum.Swap(0)/n)),
 			zap.Duration("delay_most", time.Duration(f.delayMost.Swap(0))))
 		if ended {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,7 @@
 		defer listener.Close()
 		return g.awaitStop(ctx, stop, listener)
 	})
+	g.log.Info("settings", zap.Any("opening", g.cfg.Opening), zap.Any("limits", g.cfg.Limits))
 	g.log.Info("serving", zap.String("name", g.cfg.Name), zap.String("listen", g.cfg.Listen),
 		zap.Int("engines", len(known)))
 	err = group.Wait()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -23,9 +23,9 @@
 	if s.over {
 		return
 	}
+	r.close(s)
 	s.client.Answer(s.stream, code, body)
 	r.gateway.figures.answered(code)
-	r.close(s)
 }
 
 // endUnanswered ends a statement for which nobody waits any more.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -15,8 +15,8 @@
 	case decision.Execute:
 		r.execute(a)
 	case decision.Cancel:
-		if s := r.open[a.Statement]; s != nil && int(a.Execution) < len(s.giveUp) {
-			s.giveUp[a.Execution]()
+		if s := r.open[a.Statement]; s != nil && int(a.Execution) < len(s.execs) {
+			s.execs[a.Execution].GiveUp()
 		}
 	case decision.Reject:
 		if s := r.open[a.Statement]; s != nil {
@@ -54,11 +54,11 @@
 	if a.Timeout > 0 && r.gateway.origin.Add(r.gateway.now()+a.Timeout).Before(until) {
 		until = r.gateway.origin.Add(r.gateway.now() + a.Timeout)
 	}
-	order := back.Order{Statement: s.id, Execution: decision.ExecutionID(len(s.giveUp)), Engine: a.Engine,
+	order := back.Order{Statement: s.id, Execution: decision.ExecutionID(len(s.execs)), Engine: a.Engine,
 		Workload: s.workload, Text: s.text, Until: until}
 	s.out++
 	r.gateway.figures.executions.Add(1)
-	s.giveUp = append(s.giveUp, r.gateway.back.Execute(order))
+	s.execs = append(s.execs, r.gateway.back.Execute(order))
 }
 
 // Noted hears a note of an execution, from its goroutine.
