--- a/decision/decision.go
+++ b/decision/decision.go
@@ -116,6 +116,7 @@
 	MaxRetryAdvice time.Duration
 	MaxExecutions  int
 	MaxOpen        int
+	MaxOut         int  // executions that the host can hold at once, 0: any number
 	ListOnRequest  bool // changes to the engine list come only when asked for
 	ListAskedEvery time.Duration
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"runtime"
@@ -26,7 +27,9 @@
 const (
 	clientShare  = 3         // clients hold one part in so many of the descriptors
 	ownSockets   = 24        // of the descriptors: listener, feed, log, the runtime's own
+	outShare     = 0.85      // of the engines' descriptors, for executions; the rest is for giving up and probes
 	heapShare    = 0.6       // of the memory, where the runtime collects its garbage ever more eagerly
+	heapGrowth   = 400       // percent, as long as the heap is far below that
 	textShare    = 6         // statements' texts hold one part in so many of the memory
 	clockBefore  = time.Hour // the module's clock starts so long before the router
 	inboxSize    = 4096
@@ -40,12 +43,13 @@
 
 // Gateway is a router.
 type Gateway struct {
-	cfg    *settings.Config
-	log    *zap.Logger
-	origin time.Time // of the module's clock; it holds a monotonic reading
-	front  *front.Front
-	back   *back.Back
-	route  *route
+	cfg     *settings.Config
+	log     *zap.Logger
+	origin  time.Time // of the module's clock; it holds a monotonic reading
+	engines int       // descriptors for connections to them
+	front   *front.Front
+	back    *back.Back
+	route   *route
 
 	workloads map[string]decision.WorkloadID
 	groups    map[decision.MemberGroup]bool
@@ -58,7 +62,9 @@
 // New prepares a router; nothing runs yet.
 func New(cfg *settings.Config, log *zap.Logger) *Gateway {
 	o := cfg.Opening
-	g := &Gateway{cfg: cfg, log: log, origin: time.Now().Add(-clockBefore),
+	engines := cfg.Limits.Sockets - cfg.Limits.Sockets/clientShare - ownSockets
+	o.Limits.MaxOut = int(outShare * float64(engines))
+	g := &Gateway{cfg: cfg, log: log, engines: engines, origin: time.Now().Add(-clockBefore),
 		workloads: map[string]decision.WorkloadID{}, groups: map[decision.MemberGroup]bool{}}
 	for i, w := range o.Workloads {
 		g.workloads[w.Name] = decision.WorkloadID(i)
@@ -75,24 +81,25 @@
 // Run serves until stop ends, and then until what was taken is answered.
 func (g *Gateway) Run(stop context.Context) error {
 	runtime.GOMAXPROCS(max(1, int(g.cfg.Limits.Cores+0.5)))
+	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(heapShare * float64(g.cfg.Limits.MemoryMB<<20)))
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	sockets := g.cfg.Opening.Sockets
-	g.back = back.New(ctx, g, g.cfg.Limits.Sockets-g.cfg.Limits.Sockets/clientShare-ownSockets,
-		sockets.IdleClose, sockets.ConnectTimeout, g.log)
+	g.back = back.New(ctx, g, g.engines, sockets.IdleClose, sockets.ConnectTimeout, g.log)
 	listener, err := net.Listen("tcp", g.cfg.Listen)
 	if err != nil {
 		return err
 	}
-	known, err := g.knownChanges()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return g.route.run(ctx) })
+	known, err := g.knownChanges() // the module hears of these before anything else
 	if err != nil {
+		end()
 		listener.Close()
-		return err
+		return errors.Join(err, group.Wait())
 	}
 	follow := &feed.Feed{Address: g.cfg.Feed, Origin: g.origin, Last: g.cfg.LastID, Log: g.log, Take: g.changed}
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return g.route.run(ctx) })
 	group.Go(func() error { return g.back.Tend(ctx) })
 	group.Go(func() error { return g.front.Serve(ctx, listener) })
 	group.Go(func() error { return follow.Follow(ctx) })
@@ -111,7 +118,7 @@
 	return err
 }
 
-// knownChanges hands the changes of the configuration to the module, before all else.
+// knownChanges hands the changes of the configuration to the module.
 func (g *Gateway) knownChanges() (engines []decision.EngineID, err error) {
 	for _, raw := range g.cfg.Known {
 		c, held, err := feed.Parse(raw, g.origin, time.Now())
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -30,8 +30,11 @@
 	done    chan struct{}                       // closed when nobody hears the inbox any more
 	open    map[decision.StatementID]*statement // those not given back yet
 	timers  []decision.SetTimer
+	looked  time.Time // by the backstop
 }
 
+const backstopEvery = 20 * time.Millisecond // within the answer's grace
+
 // run feeds the module until ctx ends. Two calls are at least the settings' tick apart.
 func (r *route) run(ctx context.Context) error {
 	defer close(r.done)
@@ -151,6 +154,10 @@
 // module can do. An abort promises nothing, so it is always true.
 func (r *route) backstop() {
 	now := time.Now()
+	if now.Sub(r.looked) < backstopEvery {
+		return
+	}
+	r.looked = now
 	for _, s := range r.open {
 		if !s.over && now.After(s.ends) {
 			r.gateway.log.Error("a statement was left without an answer", zap.String("statement", string(s.id)))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -39,11 +40,10 @@
 	overUtil              = 0.90        // above it a window is halved
 	reportPeriod          = time.Second // between steps of a window; a report is fresh so long
 
-	sweepEvery    = 50 * time.Millisecond
-	coldSafety    = 0.6                    // of a cold engine's budget, for slow machines and chance
-	coldMargin    = 500 * time.Millisecond // around the rule's times, for what is on its way
-	capacityShare = 0.85                   // of the cores, busy at capacity
-	learnRate     = 0.05
+	sweepEvery, learnRate = 50 * time.Millisecond, 0.05
+	coldSafety            = 0.6                    // of a cold engine's budget, for slow machines and chance
+	coldMargin            = 500 * time.Millisecond // around the rule's times, for what is on its way
+	capacityShare         = 0.85                   // of the cores, busy at capacity
 
 	backoffFirst, backoffMost = 500 * time.Millisecond, 8 * time.Second // before a left engine is tried again
 
@@ -78,38 +78,37 @@
 
 // Module is one instance. Instances share nothing.
 type Module struct {
-	me          decision.Identity
-	workloads   []*workload
-	fleet       state.Fleet
-	stmts       map[decision.StatementID]*statement // not over yet
-	held        []*statement
-	traffic     state.Traffic // decayed counts of statements, by table group
-	shares      map[decision.MemberGroup]*state.Share
-	overShare   float64 // of the importance, beyond a share
-	rules       decision.Rules
-	routers     float64
-	keys        state.KeyLines // lines of statements that keep their order
-	taken       span.Sum       // statements
-	further     span.Sum       // executions beyond each statement's first
-	opened      time.Duration  // when this instance started
-	heaviest    float64        // mean work of a workload, the largest
-	due         due.Times
-	armed       time.Duration // when the one timer comes, 0: not set
-	swept       time.Duration // last sweep
-	traits      decision.Engines
-	limits      decision.Limits
-	byProbe     bool // reports come by probe alone
-	chance      draw.Source
-	now         time.Duration
-	actions     []decision.Action
-	cores, mem  float64 // of the engines in use, cold ones at what they can do
-	credit      float64 // seconds for which twice the router's part of the fleet may be used
-	out, outMem float64 // own executions that were out lately, and their memory
-	lightest    float64 // highest importance for its work of a workload
-	stirred     bool    // what is held may find room that it did not find before
-	tried       int     // held statements that found no room since the last stir
-	asks        float64 // probes that may still be sent
-	lights      float64 // share of late statements that are light for their importance
+	me             decision.Identity
+	workloads      []*workload
+	fleet          state.Fleet
+	stmts          map[decision.StatementID]*statement // not over yet
+	held           []*statement
+	traffic        state.Traffic // decayed counts of statements, by table group
+	shares         map[decision.MemberGroup]*state.Share
+	overShare      float64 // of the importance, beyond a share
+	rules          decision.Rules
+	routers        float64
+	keys           state.KeyLines // lines of statements that keep their order
+	taken, further span.Sum       // statements, and executions beyond each one's first
+	opened         time.Duration  // when this instance started
+	heaviest       float64        // mean work of a workload, the largest
+	due            due.Times
+	armed          time.Duration // when the one timer comes, 0: not set
+	swept          time.Duration // last sweep
+	traits         decision.Engines
+	limits         decision.Limits
+	byProbe        bool // reports come by probe alone
+	chance         draw.Source
+	now            time.Duration
+	actions        []decision.Action
+	cores, mem     float64 // of the engines in use, cold ones at what they can do
+	credit         float64 // seconds for which twice the router's part of the fleet may be used
+	out, outMem    float64 // own executions that were out lately, and their memory
+	lightest       float64 // highest importance for its work of a workload
+	stirred        bool    // what is held may find room that it did not find before
+	tried, execs   int     // held statements that found no room since the last stir; own executions out now
+	asks           float64 // probes that may still be sent
+	lights         float64 // share of late statements that are light for their importance
 }
 
 // New opens an instance; each argument is one part's settings.
@@ -165,6 +164,12 @@
 			}
 		case decision.ProbeEnded:
 			m.probed(ev)
+		case decision.Stopping: // what is open by then can wait no longer for this router
+			m.due.At(now+ev.Within, func() {
+				for _, id := range slices.Sorted(maps.Keys(m.stmts)) {
+					m.giveUp(m.stmts[id])
+				}
+			})
 		}
 		m.stirred = true
 	}
@@ -333,6 +338,7 @@
 	if m.isCold(e) {
 		e.ColdSent.Add(m.now, s.Workload.Work)
 	}
+	m.execs++
 	e.Holds(s, m.now, m.need(s))
 	e.Touch(s.Tables, warmGroups)
 	m.setTerms(s)
@@ -382,8 +388,7 @@
 
 func (m *Module) refused(w *window) {
 	m.halve(w)
-	w.Refusals++
-	w.Barred = true
+	w.Refusals, w.Barred = w.Refusals+1, true
 	m.due.At(m.now+reportPeriod, func() { w.Barred = false })
 }
 
@@ -657,6 +662,7 @@
 	if x == nil {
 		return
 	}
+	m.execs--
 	s, e, w := x.Stmt, x.Engine, &x.Engine.Windows[x.Stmt.Workload.ID]
 	if s.Key != "" { // after some outcomes it may still run: the key rests, then the next may go
 		rest := m.now
@@ -749,14 +755,14 @@
 			return cmp.Compare(m.value(b), m.value(a))
 		})
 	}
-	looked := make([]int, len(m.workloads))
+	looked, mostOut := make([]int, len(m.workloads)), cmp.Or(m.limits.MaxOut, math.MaxInt)
 	left := slices.DeleteFunc(m.held[m.tried:], func(s *statement) bool {
 		w := s.Workload
 		lastStart := s.End - time.Duration(w.Pace*float64(s.Run)) // what starts later works for nobody
 		if s.Open == 0 && (m.now > lastStart || w.LateShare == 0 && m.now > (s.SLODue+latestStart(s))/2) {
 			m.giveUp(s) // no answer in time, or none that still counts
 		}
-		if s.Done || looked[w.ID] >= lookedMost || !m.inTurn(s) || !m.hasPart(s) {
+		if s.Done || looked[w.ID] >= lookedMost || !m.inTurn(s) || !m.hasPart(s) || m.execs >= mostOut {
 			return s.Done
 		}
 		e := m.route(s)
