Tests of the router: tables for each parser, the program spoken to over sockets

Integration tests start the built program (with the race detector) between scripted stand-ins: pages, interleaved streams, split frames, a client that leaves, full, refused, broken, silent and garbled engines, drains, a feed cut and resumed, SIGTERM under way, descriptors used up, bad frames and configurations.

--- /dev/null
+++ b/cmd/bankledge/main_test.go
@@ -0,0 +1,630 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const patience = 15 * time.Second // for what must happen; nothing waits so long when all is well
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "bankledge")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "bankledge")
+	if out, err := exec.Command("go", "build", "-race", "-o", program, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// engine is a stand-in: it answers each call with the next step of its script, the last one ever again.
+type engine struct {
+	id     string
+	server *httptest.Server
+	mu     sync.Mutex
+	script map[string][]step // by method and what follows /x/ID in the path
+	calls  []string
+	heard  chan string
+}
+
+type step func(w http.ResponseWriter, r *http.Request)
+
+func newEngine(t *testing.T, id string, script map[string][]step) *engine {
+	e := &engine{id: id, script: script, heard: make(chan string, 1000)}
+	e.server = httptest.NewServer(e)
+	t.Cleanup(func() { e.server.CloseClientConnections(); e.server.Close() })
+	return e
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	text, _ := io.ReadAll(r.Body)
+	call := r.Method
+	if parts := strings.Split(r.URL.Path, "/"); len(parts) > 3 {
+		call += " " + parts[3]
+	}
+	e.mu.Lock()
+	steps := e.script[call]
+	if len(steps) > 1 {
+		e.script[call] = steps[1:]
+	}
+	e.calls = append(e.calls, call)
+	e.mu.Unlock()
+	e.heard <- call + " " + r.Header.Get("X-Lane") + " " + string(text)
+	if len(steps) == 0 {
+		w.WriteHeader(map[string]int{"DELETE": 204, "GET 0": 500}[call])
+		return
+	}
+	steps[0](w, r)
+}
+
+func (e *engine) count(call string) (n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, c := range e.calls {
+		if c == call {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *engine) await(t *testing.T, call string) string {
+	t.Helper()
+	for late := time.After(patience); ; {
+		select {
+		case heard := <-e.heard:
+			if strings.HasPrefix(heard, call) {
+				return heard
+			}
+		case <-late:
+			t.Fatalf("engine %s never heard %s", e.id, call)
+		}
+	}
+}
+
+func says(status int, body string, fields ...string) step {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		for i := 0; i < len(fields); i += 2 {
+			w.Header().Set(fields[i], fields[i+1])
+		}
+		w.WriteHeader(status)
+		io.WriteString(w, body)
+	}
+}
+
+func done(body string) step {
+	return says(200, body, "X-Batches", "1", "X-Gauges", "inflight:1;util:0.1")
+}
+
+// breaks resets the connection.
+func breaks(w http.ResponseWriter, _ *http.Request) {
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+// silent says nothing until the other side gives up the connection.
+func silent(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// after answers once a channel is closed; until then there is no news.
+func after(open <-chan struct{}, then step) step {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-open:
+			then(w, r)
+		case <-time.After(100 * time.Millisecond):
+			w.WriteHeader(202)
+		}
+	}
+}
+
+// control is a stand-in for the control feed.
+type control struct {
+	server *httptest.Server
+	events chan string // "" ends the connection
+	asked  chan string // Last-Event-ID of each connection
+}
+
+func newControl(t *testing.T) *control {
+	f := &control{events: make(chan string, 10), asked: make(chan string, 100)}
+	f.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.asked <- r.Header.Get("Last-Event-ID")
+		for {
+			event := ":\n"
+			select {
+			case event = <-f.events:
+			case <-time.After(time.Second):
+			case <-r.Context().Done():
+				return
+			}
+			if event == "" {
+				return
+			}
+			io.WriteString(w, event)
+			w.(http.Flusher).Flush()
+		}
+	}))
+	t.Cleanup(func() { f.server.CloseClientConnections(); f.server.Close() })
+	return f
+}
+
+func member(e *engine, phase string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"z","flavor":"k","phase":%q,"size":8}`, e.id, e.server.Listener.Addr(), phase)
+}
+
+// router is the program under test.
+type router struct {
+	cmd    *exec.Cmd
+	listen string
+	log    *bytes.Buffer
+	ended  chan error
+}
+
+func writeConfig(t *testing.T, f *control, sockets int, engines ...*engine) string {
+	var members []string
+	for _, e := range engines {
+		members = append(members, member(e, "active"))
+	}
+	const settings = `{"bounds":{"mayCancel":true,"mayProbe":true,"maxAttempts":5,"maxOpen":1000,"connectTimeout":250000,"idleClose":15000000},
+		"classes":[{"name":"lookup","idempotency":"idempotent","objective":2000000,"deadline":9000000,"gain":1,"lateShare":0.5},
+			{"name":"load","idempotency":"at_most_once","objective":2000000,"deadline":9000000,"gain":1,"lateShare":0.5}],
+		"discovery":"pushed","extra":{"cpuOfKind":[8],"ramOfKindMb":[32000],"threadsByClass":[1,2],"waitsForLoads":[true,false],
+			"writesTables":[false,true],"tellsEvery":200000,"onShortage":"page"},
+		"feedback":{"fields":["concurrent","load_share"],"via":"inline"},"guarantees":{"drainGrace":1000000},
+		"machineTypes":["k"],"orgs":[{"name":"acme","quotaPerS":100}],"tick":1000,"zone":"z"}`
+	path := filepath.Join(t.TempDir(), "config.json")
+	feed := f.server.Listener.Addr().String()
+	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `{"name":"n1","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","feed":%q,
+		"limits":{"cores":1,"memory_mb":192,"sockets":%d},"known":{"n":1,"events":[{"n":1,"members":{"complete":true,"members":[%s]}}]},
+		"settings":%s}`, feed, sockets, strings.Join(members, ","), settings), 0o600))
+	return path
+}
+
+// start starts the program and waits until it is ready. Its address comes from its log.
+func start(t *testing.T, f *control, sockets int, engines ...*engine) *router {
+	r := &router{cmd: exec.Command(program, "serve"), log: &bytes.Buffer{}, ended: make(chan error, 1)}
+	r.cmd.Env = append(os.Environ(), "LB_CONFIG="+writeConfig(t, f, sockets, engines...))
+	pipe, err := r.cmd.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, r.cmd.Start())
+	address, lines := make(chan string, 1), bufio.NewScanner(pipe)
+	go func() {
+		for lines.Scan() {
+			r.log.WriteString(lines.Text() + "\n")
+			var line struct{ Msg, Listen string }
+			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "serving" {
+				address <- line.Listen
+			}
+		}
+		r.ended <- r.cmd.Wait()
+	}()
+	t.Cleanup(func() {
+		if r.cmd.Process.Kill() == nil {
+			<-r.ended
+		}
+		assert.NotContains(t, r.log.String(), "DATA RACE")
+		assert.NotContains(t, r.log.String(), "panic")
+		if t.Failed() {
+			t.Log(r.log.String())
+		}
+	})
+	select {
+	case r.listen = <-address:
+	case <-time.After(patience):
+		t.Fatal("the program does not serve")
+	}
+	c := dial(t, r)
+	for {
+		c.send(1, 0, "\x00")
+		if kind, _, code, _ := c.read(); kind == 2 && code == 20 {
+			break
+		}
+	}
+	c.Close()
+	return r
+}
+
+func (r *router) stop(t *testing.T) {
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
+}
+
+func (r *router) awaitEnd(t *testing.T) {
+	select {
+	case err := <-r.ended:
+		require.NoError(t, err)
+		r.ended <- nil
+	case <-time.After(patience):
+		t.Fatal("the program does not end")
+	}
+}
+
+type client struct {
+	net.Conn
+	t *testing.T
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, r *router) *client {
+	c, err := net.Dial("tcp", r.listen)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	return &client{c, t, bufio.NewReader(c)}
+}
+
+func frameOf(kind byte, stream uint32, payload string) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(5+len(payload)))
+	return append(binary.BigEndian.AppendUint32(append(b, kind), stream), payload...)
+}
+
+func (c *client) send(kind byte, stream uint32, payload string) {
+	_, err := c.Write(frameOf(kind, stream, payload))
+	require.NoError(c.t, err)
+}
+
+// read reads a frame; the code and the body are those of an answer.
+func (c *client) read() (kind byte, stream uint32, code byte, body string) {
+	c.t.Helper()
+	head := make([]byte, 9)
+	_, err := io.ReadFull(c.r, head)
+	require.NoError(c.t, err)
+	payload := make([]byte, binary.BigEndian.Uint32(head)-5)
+	_, err = io.ReadFull(c.r, payload)
+	require.NoError(c.t, err)
+	if len(payload) > 1 {
+		code, body = payload[0], string(payload[2:])
+	}
+	return head[4], binary.BigEndian.Uint32(head[5:]), code, body
+}
+
+func (c *client) answer(stream uint32, code byte, body string) {
+	c.t.Helper()
+	kind, s, got, text := c.read()
+	assert.Equal(c.t, []any{byte(8), stream, code, body}, []any{kind, s, got, text})
+}
+
+// statement is a payload; changes are pairs of a field and its value, "-" for none.
+func statement(workload string, n int, changes ...string) string {
+	fields := map[string]string{"c": workload, "i": fmt.Sprintf("%016x", n), "d": "5000", "t": "acme", "h": "20.0", "heap_mb": "8"}
+	for i := 0; i < len(changes); i += 2 {
+		if fields[changes[i]] = changes[i+1]; changes[i+1] == "-" {
+			delete(fields, changes[i])
+		}
+	}
+	b := []byte{byte(len(fields))}
+	for name, value := range fields {
+		b = append(append(b, byte(len(name))), name...)
+		b = append(binary.BigEndian.AppendUint16(b, uint16(len(value))), value...)
+	}
+	return string(b) + "SELECT * FROM sales_17.orders"
+}
+
+func TestOneStatement(t *testing.T) {
+	rows := strings.Repeat("a\tb\tc\n", 900) // 5,400 bytes
+	refusing, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	refusing.Close()
+	for _, c := range []struct {
+		name, workload string
+		script         map[string][]step // of the first engine; the second completes with "two"
+		engines        int
+		code           byte
+		body           string
+		posts, deletes int // at the first engine; -1: any number
+	}{
+		{"a result of one page", "lookup", map[string][]step{"POST": {done(rows)}}, 1, 20, rows, 1, 0},
+		{"an empty result", "lookup", map[string][]step{"POST": {done("")}}, 1, 20, "", 1, 0},
+		{"many pages after notes", "load", map[string][]step{"POST": {says(202, "", "X-How", "done", "X-Num", "0.5")},
+			"GET 0": {says(202, ""), says(202, "", "X-How", "odd"), says(200, rows, "X-Batches", "8")},
+			"GET 1": {says(200, rows, "X-Batch", "1")}, "GET 2": {breaks, says(200, rows, "X-Batch", "2")}, "GET 3": {says(200, rows, "X-Batch", "3")},
+			"GET 4": {says(200, rows, "X-Batch", "4")}, "GET 5": {says(200, rows, "X-Batch", "5")}, "GET 6": {says(200, rows, "X-Batch", "6")},
+			"GET 7": {says(200, "x\ty\tz\n", "X-Batch", "7")}}, 1, 20, strings.Repeat(rows, 7) + "x\ty\tz\n", 1, 0},
+		{"full, then not", "load", map[string][]step{"POST": {says(503, "", "X-Unrun", "1"), done("one\n")}}, 1, 20, "one\n", 2, 0},
+		{"a connection that breaks after the start is followed by a poll", "load",
+			map[string][]step{"POST": {breaks}, "GET 0": {breaks, done("one\n")}}, 1, 20, "one\n", 1, 0},
+		{"what may have run is not run again", "load", map[string][]step{"POST": {breaks}, "GET 0": {says(500, "")}}, 2, 51, "", 1, 0},
+		{"a non-idempotent statement ends with an error", "load", map[string][]step{"POST": {says(500, "")}}, 2, 51, "", 1, 0},
+		{"503 that proves nothing", "load", map[string][]step{"POST": {says(503, "")}}, 2, 51, "", 1, 0},
+		{"an idempotent statement goes on elsewhere", "lookup", map[string][]step{"POST": {says(500, "")}}, 2, 20, "two", -1, 0},
+		{"a page that is missing", "load", map[string][]step{"POST": {says(200, rows, "X-Batches", "2")}, "GET 1": {says(500, "")}}, 1, 51, "", 1, 1},
+		{"a page with another's number", "load", map[string][]step{"POST": {says(200, rows, "X-Batches", "2")},
+			"GET 1": {says(200, rows, "X-Batch", "2")}}, 1, 51, "", 1, 1},
+		{"half a row", "load", map[string][]step{"POST": {done("a\tb")}}, 1, 51, "", 1, 1},
+		{"a result beyond the most", "load", map[string][]step{"POST": {done(strings.Repeat("a\tb\tc\n", 20_000))}}, 1, 51, "", 1, 1},
+		{"garbage", "load", map[string][]step{"POST": {func(w http.ResponseWriter, _ *http.Request) {
+			if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+				io.WriteString(c, "so what\r\n\r\n")
+				c.Close()
+			}
+		}}}, 1, 51, "", 1, 1},
+		{"a silent engine, idempotent", "lookup", map[string][]step{"POST": {silent}, "GET 0": {silent}, "DELETE": {says(204, "")}}, 2, 20, "two", -1, -1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			one := newEngine(t, "one", c.script)
+			engines := []*engine{one}
+			if c.engines == 2 {
+				engines = append(engines, newEngine(t, "two", map[string][]step{"POST": {done("two\n")}}))
+			}
+			conn := dial(t, start(t, newControl(t), 256, engines...))
+			// The hash may name either engine first: statements of other ids follow until the first engine had one.
+			for n := uint32(1); ; n++ {
+				conn.send(7, n, statement(c.workload, int(n), "h", strconv.Itoa(int(10*n))))
+				_, stream, code, body := conn.read()
+				require.Equal(t, n, stream)
+				if one.count("POST") == 0 && n < 50 {
+					require.Equal(t, byte(20), code)
+					continue
+				}
+				assert.Equal(t, []any{c.code, strings.TrimSuffix(c.body, "\n")}, []any{code, strings.TrimSuffix(body, "\n")})
+				break
+			}
+			if c.posts >= 0 {
+				assert.Equal(t, c.posts, one.count("POST"))
+			}
+			if c.deletes >= 0 {
+				assert.Equal(t, c.deletes, one.count("DELETE"))
+			}
+		})
+	}
+}
+
+func TestStreams(t *testing.T) {
+	second := make(chan struct{})
+	e := newEngine(t, "one", map[string][]step{"POST": {says(202, ""), done("second\n")}, "GET 0": {after(second, done("first\n"))}})
+	r := start(t, newControl(t), 256, e)
+	c := dial(t, r)
+	c.send(7, 1, statement("lookup", 1))
+	assert.Equal(t, "POST lookup SELECT * FROM sales_17.orders", e.await(t, "POST"))
+	for _, b := range frameOf(7, 2, statement("lookup", 2)) { // a frame that comes in pieces
+		_, err := c.Write([]byte{b})
+		require.NoError(t, err)
+	}
+	c.answer(2, 20, "second\n")
+	c.send(7, 3, statement("lookup", 1)) // the id of one that is open
+	c.answer(3, 50, "id is in use")
+	close(second)
+	c.answer(1, 20, "first\n")
+
+	both := append(frameOf(7, 4, statement("lookup", 4)), frameOf(7, 5, statement("lookup", 5))...) // many in one read
+	_, err := c.Write(both)
+	require.NoError(t, err)
+	got := map[uint32]string{}
+	for range 2 {
+		_, stream, _, body := c.read()
+		got[stream] = body
+	}
+	assert.Equal(t, map[uint32]string{4: "second\n", 5: "second\n"}, got)
+}
+
+func TestClientLeaves(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		leave func(c *client)
+	}{
+		{"a frame that says so", func(c *client) { c.send(9, 1, "") }},
+		{"the end of the connection", func(c *client) { c.Close() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			never := make(chan struct{})
+			e := newEngine(t, "one", map[string][]step{"POST": {says(202, ""), done("next\n")}, "GET 0": {after(never, nil)}})
+			r := start(t, newControl(t), 256, e)
+			conn := dial(t, r)
+			conn.send(7, 1, statement("load", 1))
+			e.await(t, "GET 0")
+			c.leave(conn)
+			e.await(t, "DELETE")
+			conn = dial(t, r)
+			conn.send(7, 1, statement("lookup", 2))
+			conn.answer(1, 20, "next\n")
+			assert.Equal(t, 2, e.count("POST"))
+		})
+	}
+}
+
+func TestBadFrames(t *testing.T) {
+	e := newEngine(t, "one", map[string][]step{"POST": {done("fine\n")}})
+	r := start(t, newControl(t), 256, e)
+	for _, c := range []struct {
+		name, want string
+		frame      []byte
+		stream     uint32
+		code       byte
+	}{
+		{"unknown type", "frame type 77", frameOf(77, 1, "x"), 0, 51},
+		{"a router's type", "frame type 8", frameOf(8, 1, "x"), 0, 51},
+		{"stream 0", "not new", frameOf(7, 0, statement("lookup", 1)), 0, 51},
+		{"no fields", "cut short", frameOf(7, 1, ""), 1, 50},
+		{"fields cut short", "cut short", frameOf(7, 1, statement("lookup", 1)[:20]), 1, 50},
+		{"unknown workload", "field c", frameOf(7, 1, statement("odd", 1)), 1, 50},
+		{"unknown member group", "field t", frameOf(7, 1, statement("lookup", 1, "t", "odd")), 1, 50},
+		{"no id", "field i", frameOf(7, 1, statement("lookup", 1, "i", "-")), 1, 50},
+		{"an id with a line feed", "field i", frameOf(7, 1, statement("lookup", 1, "i", "0123456789abcd\r\n")), 1, 50},
+		{"no time", "field d", frameOf(7, 1, statement("lookup", 1, "d", "-")), 1, 50},
+		{"no time left", "field d", frameOf(7, 1, statement("lookup", 1, "d", "0")), 1, 50},
+		{"endless time", "field d", frameOf(7, 1, statement("lookup", 1, "d", "Inf")), 1, 50},
+		{"an estimate below 0", "field h", frameOf(7, 1, statement("lookup", 1, "h", "-1")), 1, 50},
+		{"an estimate that is no number", "field heap_mb", frameOf(7, 1, statement("lookup", 1, "heap_mb", "NaN")), 1, 50},
+		{"an odd mark", "field r", frameOf(7, 1, statement("lookup", 1, "r", "maybe")), 1, 50},
+		{"length too small", "frame length", []byte{0, 0, 0, 4, 7, 0, 0, 0}, 0, 51},
+		{"length too large", "frame length", []byte{0xff, 0, 0, 0, 7}, 0, 51},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			conn := dial(t, r)
+			_, err := conn.Write(c.frame)
+			require.NoError(t, err)
+			kind, stream, code, body := conn.read()
+			assert.Equal(t, []any{byte(8), c.stream, c.code}, []any{kind, stream, code})
+			assert.Contains(t, body, c.want)
+			if strings.HasPrefix(c.name, "length") { // the framing is lost: the connection ends
+				_, err := conn.r.ReadByte()
+				require.ErrorIs(t, err, io.EOF)
+				return
+			}
+			conn.send(7, 2, statement("lookup", 1))
+			conn.answer(2, 20, "fine\n")
+			conn.send(7, 2, statement("lookup", 1))
+			_, stream, code, _ = conn.read()
+			assert.Equal(t, []any{uint32(0), byte(51)}, []any{stream, code}, "a stream used again")
+		})
+	}
+}
+
+func TestControlFeed(t *testing.T) {
+	one := newEngine(t, "one", map[string][]step{"POST": {done("one\n")}})
+	two := newEngine(t, "two", map[string][]step{"POST": {done("two\n")}})
+	three := newEngine(t, "three", map[string][]step{"POST": {done("three\n")}})
+	f := newControl(t)
+	c := dial(t, start(t, f, 256, one, two))
+	assert.Equal(t, "1", <-f.asked)
+	f.events <- "id: 2\ndata: {\"n\":2,\ndata: \"members\":{\"members\":[" + member(one, "leaving") + "]}}\n\n"
+	f.events <- ""
+	assert.Equal(t, "2", <-f.asked, "asks on from the last")
+	f.events <- fmt.Sprintf("id: 3\ndata: {\"n\":3,\"members\":{\"members\":[%s,%s]}}\n\n", member(two, "left"), member(three, "active"))
+	f.events <- ""
+	assert.Equal(t, "3", <-f.asked)
+	before := one.count("POST") + two.count("POST")
+	for n := range uint32(20) {
+		c.send(7, n+1, statement("lookup", int(n)))
+		c.answer(n+1, 20, "three\n")
+	}
+	assert.Equal(t, before, one.count("POST")+two.count("POST"), "nothing new goes to what drains or is gone")
+}
+
+func TestEngineThatIsNotThere(t *testing.T) {
+	one := newEngine(t, "one", map[string][]step{"POST": {done("one\n")}})
+	two := newEngine(t, "two", map[string][]step{"POST": {done("two\n")}})
+	c := dial(t, start(t, newControl(t), 256, one, two))
+	one.server.CloseClientConnections()
+	one.server.Close()
+	for n := range uint32(20) { // also what must not run twice goes elsewhere, since it never ran
+		c.send(7, n+1, statement("load", int(n)))
+		c.answer(n+1, 20, "two\n")
+	}
+}
+
+func TestStop(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		code byte
+		body string
+	}{
+		{"what ends in time is answered", 20, "late\n"},
+		{"what does not is aborted", 51, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			finish := make(chan struct{})
+			e := newEngine(t, "one", map[string][]step{"POST": {says(202, "")}, "GET 0": {after(finish, done("late\n"))}})
+			r := start(t, newControl(t), 256, e)
+			conn := dial(t, r)
+			conn.send(7, 1, statement("load", 1, "d", "9000"))
+			e.await(t, "GET 0")
+			r.stop(t)
+			kind, stream, _, _ := conn.read()
+			assert.Equal(t, []any{byte(3), uint32(0)}, []any{kind, stream})
+			late := dial(t, r) // new connections are told at once, and answered all the same
+			kind, _, _, _ = late.read()
+			assert.Equal(t, byte(3), kind)
+			late.send(1, 0, "\x00")
+			kind, _, code, _ := late.read()
+			assert.Equal(t, []any{byte(2), byte(50)}, []any{kind, code}, "not ready any more")
+			late.send(7, 1, statement("odd", 2))
+			late.answer(1, 50, "field c: unknown workload")
+			if c.code == 20 {
+				close(finish)
+			}
+			conn.answer(1, c.code, c.body)
+			r.awaitEnd(t)
+		})
+	}
+}
+
+func TestDescriptorsUsedUp(t *testing.T) {
+	e := newEngine(t, "one", map[string][]step{"POST": {done("fine\n")}})
+	r := start(t, newControl(t), 64, e) // 21 for clients, 19 for engines
+	var held []*client
+	for range 21 {
+		c := dial(t, r)
+		c.send(1, 0, "\x00")
+		c.read()
+		held = append(held, c)
+	}
+	waits := dial(t, r) // the kernel holds it until there is room
+	waits.send(7, 1, statement("lookup", 1))
+	require.NoError(t, waits.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err := waits.r.ReadByte()
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	for stream := range uint32(10) { // many more statements than descriptors for engines
+		for i, c := range held {
+			c.send(7, stream+1, statement("lookup", int(stream)*100+i))
+		}
+	}
+	for range 10 {
+		for _, c := range held {
+			_, _, code, body := c.read()
+			assert.Equal(t, []any{byte(20), "fine\n"}, []any{code, body})
+		}
+	}
+	held[0].Close()
+	require.NoError(t, waits.SetDeadline(time.Now().Add(patience)))
+	waits.answer(1, 20, "fine\n")
+}
+
+func TestCommands(t *testing.T) {
+	good := writeConfig(t, newControl(t), 256)
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	raw, err := os.ReadFile(good)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(bad, bytes.Replace(raw, []byte(`"memory_mb":192`), []byte(`"memory_mb":1`), 1), 0o600))
+	for _, c := range []struct {
+		name, out string
+		args      []string
+		fine      bool
+	}{
+		{"version", "bankledge ", []string{"version"}, true},
+		{"check", "fit to serve n1", []string{"check", good}, true},
+		{"check of a bad one names the field", "limits.memory_mb", []string{"check", bad}, false},
+		{"check of none", "no such file", []string{"check", "nowhere"}, false},
+		{"serve with a bad one", "limits.memory_mb", []string{"serve", "--config", bad}, false},
+		{"serve with none", "--config", []string{"serve"}, false},
+		{"serve on a bad address", "listen", []string{"serve", "--config", good, "--listen", "here"}, false},
+		{"serve on an address that is not ours", "listen", []string{"serve", "--config", good, "--listen", "192.0.2.1:1"}, false},
+		{"an unknown command", "unexpected argument", []string{"fly"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			out, err := exec.Command(program, c.args...).CombinedOutput()
+			assert.Contains(t, string(out), c.out)
+			var failed *exec.ExitError
+			assert.Equal(t, c.fine, !errors.As(err, &failed), string(out))
+		})
+	}
+}
--- /dev/null
+++ b/internal/buffer/buffer_test.go
@@ -0,0 +1,46 @@
+package buffer
+
+import (
+	"bytes"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestBuffer(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		size, most int
+		take       int // bytes taken at a time, once there are as many
+		err        error
+	}{
+		{"small pieces", 10_000, first, 7, nil},
+		{"grows for something large", 100_000, 200_000, 100_000, nil},
+		{"compacts in place, so that what is left always fits", 90_000, first, first - 1, nil},
+		{"larger than it may grow", 100_000, 50_000, 100_000, ErrFull},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			want := bytes.Repeat([]byte("0123456789"), c.size/10)
+			in := iotest.HalfReader(bytes.NewReader(want))
+			b := New(c.most)
+			var got []byte
+			for len(got) < len(want) {
+				if n := min(c.take, len(want)-len(got)); len(b.Next()) >= n {
+					got = append(got, b.Next()[:n]...)
+					b.Take(n)
+					continue
+				}
+				if _, err := b.Fill(in); err != nil {
+					require.ErrorIs(t, err, c.err)
+					return
+				}
+				require.LessOrEqual(t, len(b.data), c.most)
+			}
+			require.NoError(t, c.err)
+			assert.Equal(t, want, got)
+			assert.LessOrEqual(t, len(b.data), keep, "comes back down")
+		})
+	}
+}
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,103 @@
+package feed
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"bankledge/decision"
+)
+
+const member = `{"id":"e1","host_port":"127.0.0.1:9","locality":"z","flavor":"k","cell":2,"phase":"active","size":4}`
+
+func event(id, n string) string {
+	return "id: " + id + "\ndata: {\"n\":" + n + ",\"members\":{\"members\":[" + member + "]}}\n\n"
+}
+
+func TestEvents(t *testing.T) {
+	for _, c := range []struct {
+		name, in string
+		tries    int // times that the same is read, as on a new connection
+		took     []int64
+		last     int64
+		err      string
+	}{
+		{"in order", event("5", "5") + event("6", "6"), 1, []int64{5, 6}, 6, "EOF"},
+		{"comments and other fields", ": hi\nretry: 5\n\n" + event("5", "5") + ":\n", 1, []int64{5}, 5, "EOF"},
+		{"data on several lines, CR LF", "id:5\r\ndata: {\"n\":5,\r\ndata:\"members\":{\"members\":[]}}\r\n\r\n", 1, []int64{5}, 5, "EOF"},
+		{"lines that end in CR", "id: 5\rdata: {\"n\":5,\"members\":{}}\r\r" + event("6", "6"), 1, []int64{5, 6}, 6, "EOF"},
+		{"repeats", event("3", "3") + event("4", "4") + event("5", "5"), 1, []int64{5}, 5, "EOF"},
+		{"the number in the data stands in for the id", "data: {\"n\":5,\"members\":{}}\n\n", 1, []int64{5}, 5, "EOF"},
+		{"a gap is asked for again", event("7", "7"), 1, nil, 4, "asking for what is between"},
+		{"a gap that stays is taken", event("7", "7"), 2, []int64{7}, 7, "EOF"},
+		{"an event that holds no list counts", "id: 5\ndata: {\"n\":5,\"purge\":{}}\n\n", 1, nil, 5, "EOF"},
+		{"an event not ended is none", strings.TrimSuffix(event("5", "5"), "\n"), 1, nil, 4, "EOF"},
+		{"garbage is asked for again", "id: 5\ndata: {\n\n", 2, nil, 4, "unexpected end"},
+		{"garbage that stays is passed over", "id: 5\ndata: {\n\n" + event("6", "6"), 3, []int64{6}, 6, "EOF"},
+		{"too large", "data: " + strings.Repeat("x", mostEvent) + "\n\n", 1, nil, 4, "too long"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var took []int64
+			f := &Feed{Last: 4, Log: zap.NewNop(), Take: func(c Change) { took = append(took, c.Number) }}
+			var err error
+			for range c.tries {
+				err = f.events(iotest.HalfReader(strings.NewReader(c.in)))
+			}
+			require.ErrorContains(t, err, c.err)
+			assert.Equal(t, c.took, took)
+			assert.Equal(t, c.last, f.Last)
+		})
+	}
+}
+
+func TestParse(t *testing.T) {
+	origin := time.UnixMilli(1_000_000)
+	now := origin.Add(time.Hour)
+	for _, c := range []struct {
+		name, from, to string // replaced in the member
+		started        time.Duration
+		state          decision.EngineState
+		err            string
+	}{
+		{"as it is", "", "", 0, decision.Ready, ""},
+		{"started late", `"size":4`, `"up_since_ms":1090000`, 90 * time.Second, decision.Ready, ""},
+		{"started before the clock", `"size":4`, `"up_since_ms":5`, 0, decision.Ready, ""},
+		{"started in the future", `"size":4`, `"up_since_ms":99000000000`, time.Hour, decision.Ready, ""},
+		{"drains", "active", "leaving", 0, decision.Draining, ""},
+		{"gone, address and all", `"127.0.0.1:9","locality":"z","flavor":"k","cell":2,"phase":"active"`, `"","phase":"left"`, 0, decision.Gone, ""},
+		{"an unknown state", "active", "asleep", 0, 0, "unknown word"},
+		{"no id", "e1", "", 0, 0, "without an id"},
+		{"no address", "127.0.0.1:9", "nowhere", 0, 0, "host_port"},
+		{"an ill-typed field", `"cell":2`, `"cell":"x"`, 0, 0, "cell"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			raw := `{"n":3,"members":{"revision":9,"complete":true,"members":[` + strings.Replace(member, c.from, c.to, 1) + `]}}`
+			got, ok, err := Parse([]byte(raw), origin, now)
+			if c.err != "" {
+				require.ErrorContains(t, err, c.err)
+				return
+			}
+			require.NoError(t, err)
+			require.True(t, ok && got.Complete && got.Number == 3 && got.Version == 9 && len(got.Members) == 1)
+			assert.Equal(t, c.started, got.Members[0].StartedAt)
+			assert.Equal(t, c.state, got.Members[0].State)
+		})
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add(event("5", "5"))
+	f.Add("\ufeffid: 1\r\rdata\n\n:x\n")
+	f.Fuzz(func(t *testing.T, in string) {
+		feed := &Feed{Log: zap.NewNop(), Take: func(Change) {}}
+		if err := feed.events(strings.NewReader(in)); err == nil {
+			t.Fatal("a stream that ends without an error", io.EOF)
+		}
+	})
+}
--- a/internal/gateway/book.go
+++ b/internal/gateway/book.go
@@ -14,12 +14,18 @@
 
 // Book: the records of statements, given back in one place, and the figures of what happened.
 
+// client is what the gateway needs of a client's connection. No call blocks.
+type client interface {
+	Answer(stream uint32, code front.Code, body []byte)
+	Release(stream uint32)
+}
+
 // statement is the record of one statement. The route goroutine owns it once it is admitted.
 type statement struct {
 	id       decision.StatementID
 	workload string
 	text     []byte
-	client   *front.Conn
+	client   client
 	stream   uint32
 	taken    time.Time
 	ends     time.Time // the client gives up
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,7 @@
 	front   *front.Front
 	back    *back.Back
 	route   *route
+	serving chan net.Addr // the address, once clients can connect
 
 	workloads map[string]decision.WorkloadID
 	groups    map[decision.MemberGroup]bool
@@ -64,7 +65,7 @@
 	o := cfg.Opening
 	engines := cfg.Limits.Sockets - cfg.Limits.Sockets/clientShare - ownSockets
 	o.Limits.MaxOut = int(outShare * float64(engines))
-	g := &Gateway{cfg: cfg, log: log, engines: engines, origin: time.Now().Add(-clockBefore),
+	g := &Gateway{cfg: cfg, log: log, engines: engines, serving: make(chan net.Addr, 1), origin: time.Now().Add(-clockBefore),
 		workloads: map[string]decision.WorkloadID{}, groups: map[decision.MemberGroup]bool{}}
 	for i, w := range o.Workloads {
 		g.workloads[w.Name] = decision.WorkloadID(i)
@@ -111,13 +112,17 @@
 		return g.awaitStop(ctx, stop, listener)
 	})
 	g.log.Info("settings", zap.Any("opening", g.cfg.Opening), zap.Any("limits", g.cfg.Limits))
-	g.log.Info("serving", zap.String("name", g.cfg.Name), zap.String("listen", g.cfg.Listen),
+	g.log.Info("serving", zap.String("name", g.cfg.Name), zap.Stringer("listen", listener.Addr()),
 		zap.Int("engines", len(known)))
+	g.serving <- listener.Addr()
 	err = group.Wait()
 	g.log.Info("ended", zap.Error(err))
 	return err
 }
 
+// Serving tells the address once clients can connect.
+func (g *Gateway) Serving() <-chan net.Addr { return g.serving }
+
 // knownChanges hands the changes of the configuration to the module.
 func (g *Gateway) knownChanges() (engines []decision.EngineID, err error) {
 	for _, raw := range g.cfg.Known {
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"bankledge/decision"
+	"bankledge/internal/front"
+	"bankledge/internal/settings"
+)
+
+// Every goroutine ends with the router, also with a client connected and a statement open.
+func TestNothingIsLeft(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	cfg := &settings.Config{Listen: "127.0.0.1:0", Feed: "127.0.0.1:9", Limits: settings.Machine{Cores: 1, MemoryMB: 64, Sockets: 128},
+		Opening: &settings.Opening{Workloads: []decision.Workload{{Name: "w", SLO: time.Second, StatementTimeout: 100 * time.Millisecond}}}}
+	g := New(cfg, zap.NewNop())
+	stop, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(stop) }()
+	address := <-g.Serving()
+	c, err := net.Dial("tcp", address.String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte("\x00\x00\x00\x27\x07\x00\x00\x00\x01\x03\x01c\x00\x01w\x01i\x00\x100123456789abcdef\x01d\x00\x0260x"))
+	require.NoError(t, err)
+	cancel()
+	require.NoError(t, <-ended)
+}
+
+type nobody struct{}
+
+func (nobody) Answer(uint32, front.Code, []byte) {}
+func (nobody) Release(uint32)                    {}
+
+// A panic in the module loses a batch; whoever it has forgotten is answered when its time is up.
+func TestModuleFails(t *testing.T) {
+	cfg := &settings.Config{Limits: settings.Machine{Cores: 1, MemoryMB: 64, Sockets: 128}, Opening: &settings.Opening{}}
+	g := New(cfg, zap.NewNop()) // a module without workloads
+	s := &statement{id: "x", client: nobody{}, taken: time.Now(), ends: time.Now()}
+	g.figures.open.Add(1)
+	g.route.handle([]input{{event: decision.StatementArrived{Statement: "x", Workload: 7}, stmt: s}})
+	require.Contains(t, g.route.open, s.id)
+	g.route.backstop()
+	require.True(t, s.over)
+	require.Empty(t, g.route.open)
+	require.Equal(t, int64(1), g.figures.aborted.Load())
+}
--- a/internal/gateway/takein.go
+++ b/internal/gateway/takein.go
@@ -36,6 +36,6 @@
 
 // stmtAt is where a statement came from.
 type stmtAt struct {
-	client *front.Conn
+	client client
 	stream uint32
 }
--- /dev/null
+++ b/internal/settings/config_test.go
@@ -0,0 +1,47 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const config = `{"name":"n1","listen":"127.0.0.1:4100","seed":"8c1f30d27a5be964",
+	"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"feed":"127.0.0.1:4222","known":{"n":3,"events":[{"n":3}]},
+	"settings":{"classes":[{"name":"lookup","idempotency":"idempotent"}],"bounds":{"connectTimeout":250000}}}`
+
+func TestParseConfig(t *testing.T) {
+	for _, c := range []struct{ name, from, to, err string }{
+		{"as it is", "", "", ""},
+		{"no JSON", `{"name"`, `"name"`, "configuration"},
+		{"a field of another type", `"n":3,"events"`, `"n":"x","events"`, "known.n"},
+		{"no seed", "8c1f30d27a5be964", "", "seed"},
+		{"a seed that is not hex", "8c1f30d27a5be964", "xyz", "seed"},
+		{"no address to listen on", "127.0.0.1:4100", "", "listen"},
+		{"a name in place of an address", "127.0.0.1:4222", "feed:1", "feed"},
+		{"a port too large", "127.0.0.1:4222", "127.0.0.1:99999", "feed"},
+		{"no core", `"cores":1.0`, `"cores":0`, "limits.cores"},
+		{"too little memory", `"memory_mb":192`, `"memory_mb":3`, "limits.memory_mb"},
+		{"too few descriptors", `"sockets":1024`, `"sockets":10`, "limits.sockets"},
+		{"a number below 0", `"known":{"n":3`, `"known":{"n":-3`, "known.n"},
+		{"no workloads", `{"name":"lookup","idempotency":"idempotent"}`, "", "classes"},
+		{"an unknown effect", `"idempotency":"idempotent"`, `"idempotency":"odd"`, "idempotency"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, err := ParseConfig([]byte(strings.Replace(config, c.from, c.to, 1)))
+			if c.err != "" {
+				require.ErrorContains(t, err, c.err)
+				return
+			}
+			require.NoError(t, err)
+			assert.Equal(t, uint64(0x8c1f30d27a5be964), got.Seed)
+			assert.Equal(t, int64(3), got.LastID)
+			assert.Equal(t, 250*time.Millisecond, got.Opening.Sockets.ConnectTimeout)
+		})
+	}
+	_, err := Load("nowhere")
+	require.ErrorContains(t, err, "configuration")
+}
