--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"bankledge/decision"
+	"bankledge/internal/back"
 	"bankledge/internal/front"
 	"bankledge/internal/settings"
 )
@@ -34,10 +35,33 @@
 	require.NoError(t, <-ended)
 }
 
-type nobody struct{}
+type nobody struct{ heard func() }
 
-func (nobody) Answer(uint32, front.Code, []byte) {}
-func (nobody) Release(uint32)                    {}
+func (n nobody) Answer(uint32, front.Code, []byte) {
+	if n.heard != nil {
+		n.heard()
+	}
+}
+func (nobody) Release(uint32) {}
+
+// An execution that still waits for a connection is revoked before the client can know of the answer.
+func TestNothingIsSentAfterTheAnswer(t *testing.T) {
+	cfg := &settings.Config{Limits: settings.Machine{Cores: 1, MemoryMB: 64, Sockets: 128}, Opening: &settings.Opening{}}
+	g := New(cfg, zap.NewNop())
+	g.back = back.New(t.Context(), g, 0, time.Minute, time.Minute, g.log) // with no descriptor to be had
+	s := &statement{id: "x", ends: time.Now().Add(time.Minute)}
+	heard := false
+	s.client = nobody{func() {
+		heard = true
+		require.False(t, s.execs[0].Revoke(), "it was revoked before")
+	}}
+	g.route.open[s.id] = s
+	g.route.execute(decision.Execute{Statement: "x", Engine: "e"})
+	g.route.answer(s, rejected, nil)
+	require.True(t, heard)
+	ended := (<-g.route.inbox).event.(decision.ExecutionEnded)
+	require.Equal(t, decision.NeverSent, ended.Outcome)
+}
 
 // A panic in the module loses a batch; whoever it has forgotten is answered when its time is up.
 func TestModuleFails(t *testing.T) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -597,3 +597,31 @@
 	}
 	assert.Equal(t, run(), run())
 }
+
+// The host may hold few executions: what is beyond them waits here, and goes as others end.
+func TestNoMoreOutThanTheHostHolds(t *testing.T) {
+	b := newBed(t)
+	b.limits.MaxOut = 1
+	b.at(0, ready("a", "b"), read("1"), read("2"))
+	first := b.sentTo()
+	require.NotEmpty(t, first)
+	b.at(10*ms, end("1", 0, first, decision.Completed))
+	assert.NotEmpty(t, b.sentTo())
+	b.at(20*ms, read("3"))
+	assert.Empty(t, b.sentTo())
+}
+
+// A router that stops answers by its time whatever is open, in an order of its own.
+func TestStopping(t *testing.T) {
+	b := newBed(t).at(0, ready("a", "b"), read("2"), read("1"), write("3"))
+	b.at(10*ms, decision.Stopping{Within: time.Second})
+	assert.Empty(t, pick[decision.Reject](b))
+	b.at(500*ms, read("4"))
+	b.at(1010*ms, decision.TimerFired{Token: "due"})
+	var rejected []decision.StatementID
+	for _, r := range pick[decision.Reject](b) {
+		rejected = append(rejected, r.Statement)
+	}
+	assert.Equal(t, []decision.StatementID{"1", "2", "4"}, rejected)
+	assert.Equal(t, []decision.Abort{{Statement: "3"}}, pick[decision.Abort](b), "it may have run")
+}
