--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -125,12 +125,14 @@
 
 // Execute starts an execution; the listener hears its notes and its one end.
 func (b *Back) Execute(order Order) *Execution {
-	ctx, cancel := context.WithCancel(b.ctx)
+	ctx, cancel := context.WithDeadline(b.ctx, order.Until)
 	x := &Execution{back: b, Order: order, path: "/x/" + string(order.Statement), sent: time.Now(),
 		ctx: ctx, cancel: cancel}
 	b.running.Go(func() {
 		defer cancel()
-		if outcome, result, known := x.run(); known {
+		stop := context.AfterFunc(ctx, x.lapsed)
+		outcome, result, known := x.run()
+		if stop(); known {
 			x.end(outcome, x.report, result)
 		}
 	})
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bankledge/decision"
 	"bankledge/internal/http1"
 )
@@ -48,13 +51,24 @@
 // GiveUp waits for an execution no longer. Its end is told when it is out no longer, which takes a call to
 // the engine, unless another end comes first.
 func (x *Execution) GiveUp() {
-	if x.Revoke() || x.ctx.Err() != nil {
+	if !x.Revoke() {
+		x.cancel()
+	}
+}
+
+// lapsed makes sure that an execution that was given up, or whose time is up, is out no longer, and tells so.
+// It goes beside the poll that is under way, whose connection is kept for later use.
+func (x *Execution) lapsed() {
+	if x.stage.Load() != started || x.back.ctx.Err() != nil {
 		return
 	}
-	x.cancel()
+	outcome := decision.Cancelled
+	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+		outcome = decision.TimedOut
+	}
 	x.back.running.Go(func() {
 		x.callOff()
-		x.end(decision.Cancelled, nil, nil)
+		x.end(outcome, nil, nil)
 	})
 }
 
@@ -68,14 +82,21 @@
 
 var (
 	errProcessGone = errors.New("the engine's process is gone")
-	errTimeUp      = errors.New("the execution's time is up")
-	errGivenUp     = errors.New("the execution was given up")
+	errLapsed      = errors.New("the execution was given up, or its time is up")
 	errNoPage      = errors.New("a page of the result cannot be had")
 )
 
-// run brings an execution to its outcome. A result is whole or there is none. Of one that is given up while
-// it is out, the call that gives it up tells the end.
+// run brings an execution to its outcome. A result is whole or there is none. The end of one that lapses while
+// it is out is not known here: lapsed tells it.
 func (x *Execution) run() (outcome decision.Outcome, result []byte, known bool) {
+	defer func() {
+		if p := recover(); p != nil { // ends this execution alone
+			x.back.log.Error("an execution broke down", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+			x.release(false)
+			x.callOff()
+			outcome, result, known = decision.Errored, nil, true
+		}
+	}()
 	c, err := x.back.pool.get(x.ctx, x.Engine, false)
 	if err != nil {
 		if x.ctx.Err() != nil || errors.Is(err, errNoSlot) || errors.Is(err, errNoEngine) {
@@ -114,13 +135,10 @@
 			head, body, err = x.poll("/0")
 		}
 		switch {
-		case errors.Is(err, errGivenUp):
+		case errors.Is(err, errLapsed):
 			return 0, nil, false
 		case errors.Is(err, errProcessGone):
 			return decision.Reset, nil, true
-		case errors.Is(err, errTimeUp):
-			x.callOff()
-			return decision.TimedOut, nil, true
 		case err != nil: // garbage, or pages that are not to be had: it may have run, and runs no longer
 			x.callOff()
 			return decision.Errored, nil, true
@@ -130,19 +148,14 @@
 
 // isFinal tells errors after which nothing is asked again from those of one connection.
 func isFinal(err error) bool {
-	return errors.Is(err, errGivenUp) || errors.Is(err, errProcessGone) || errors.Is(err, errTimeUp) ||
-		errors.Is(err, errNoPage) || errors.Is(err, http1.ErrMalformed)
+	return errors.Is(err, errLapsed) || errors.Is(err, errProcessGone) || errors.Is(err, errNoPage) || errors.Is(err, http1.ErrMalformed)
 }
 
-// ask makes one call on the connection that the execution holds, bounded by the poll's time and its own.
+// ask makes one call on the connection that the execution holds, bounded by the poll's time.
 func (x *Execution) ask(call []byte) (http1.Head, []byte, bool, error) {
 	now := time.Now()
-	until := now.Add(pollHeld + pollSlack)
-	if x.Until.Before(until) {
-		until = x.Until
-	}
 	x.asked.Store(now.UnixNano())
-	head, body, whole, err := x.conn.do(until, call)
+	head, body, whole, err := x.conn.do(now.Add(pollHeld+pollSlack), call)
 	if err != nil || head.Close {
 		x.release(false)
 	}
@@ -164,11 +177,8 @@
 // poll asks for news or a page until there is an answer: on another connection when one breaks or hangs.
 func (x *Execution) poll(what string) (head http1.Head, body []byte, err error) {
 	for fresh := false; ; fresh = true {
-		switch {
-		case x.ctx.Err() != nil:
-			return head, nil, errGivenUp
-		case !time.Now().Before(x.Until):
-			return head, nil, errTimeUp
+		if x.ctx.Err() != nil {
+			return head, nil, errLapsed
 		}
 		if x.conn == nil {
 			c, err := x.back.pool.get(x.ctx, x.Engine, fresh)
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -69,8 +69,8 @@
 
 // Dials counts connections made since the last look, and why others were dropped.
 type Dials struct {
-	Made, Failed, Stale, Broken, Crowded int
-	Longest                              time.Duration // that one took to come up
+	Made, NotUp, Stale, Crowded int
+	Longest                     time.Duration // that one took to come up
 }
 
 // counted looks at the counts and begins anew.
@@ -139,7 +139,7 @@
 	p.count(func(d *Dials) {
 		d.Longest = max(d.Longest, time.Since(began))
 		if d.Made++; err != nil {
-			d.Failed++
+			d.NotUp++
 		}
 	})
 	if err != nil {
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -107,7 +107,7 @@
 func (r *route) decide(now time.Duration, events []decision.Event) (actions []decision.Action) {
 	defer func() {
 		if p := recover(); p != nil {
-			r.gateway.log.Error("the module failed", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+			r.gateway.log.Error("the module broke down", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
 			r.timers = append(r.timers, decision.SetTimer{Token: "again", At: now})
 		}
 	}()
