The module's grain of time on sockets is 10 ms, so that answers go 20 ms before the client's time

The module gives up two ticks before the client's time; the settings' tick there is 1 ms, while a process that shares its core may be woken later than that. Ruled out: statements forgotten (the backstop logged none). The host now tells the module a tick of 10 ms at least.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -26,7 +26,7 @@
 	Router  RouterID
 	Routers int // how many routers share the fleet
 	Zone    Zone
-	Tick    time.Duration // shortest gap between two calls
+	Tick    time.Duration // how late a call may come: the host's grain of time
 }
 
 // Effect says what a repeat of a statement would do.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,13 +25,14 @@
 
 // How the platform's limits are divided, and the times of a start and a stop.
 const (
-	clientShare  = 3         // clients hold one part in so many of the descriptors
-	ownSockets   = 24        // of the descriptors: listener, feed, log, the runtime's own
-	outShare     = 0.85      // of the engines' descriptors, for executions; the rest is for giving up and probes
-	heapShare    = 0.6       // of the memory, where the runtime collects its garbage ever more eagerly
-	heapGrowth   = 400       // percent, as long as the heap is far below that
-	textShare    = 6         // statements' texts hold one part in so many of the memory
-	clockBefore  = time.Hour // the module's clock starts so long before the router
+	clientShare  = 3                     // clients hold one part in so many of the descriptors
+	ownSockets   = 24                    // of the descriptors: listener, feed, log, the runtime's own
+	outShare     = 0.85                  // of the engines' descriptors, for executions; the rest is for giving up and probes
+	heapShare    = 0.6                   // of the memory, where the runtime collects its garbage ever more eagerly
+	heapGrowth   = 400                   // percent, as long as the heap is far below that
+	textShare    = 6                     // statements' texts hold one part in so many of the memory
+	wakeTime     = 10 * time.Millisecond // that a call to the module may be late on a core that others use, too
+	clockBefore  = time.Hour             // the module's clock starts so long before the router
 	inboxSize    = 4096
 	reachPause   = 100 * time.Millisecond
 	lateComers   = time.Second     // after SIGTERM statements may come so long
@@ -64,6 +65,7 @@
 func New(cfg *settings.Config, log *zap.Logger) *Gateway {
 	o := cfg.Opening
 	engines := cfg.Limits.Sockets - cfg.Limits.Sockets/clientShare - ownSockets
+	o.Identity.Tick = max(o.Identity.Tick, wakeTime)
 	o.Limits.MaxOut = int(outShare * float64(engines))
 	g := &Gateway{cfg: cfg, log: log, engines: engines, serving: make(chan net.Addr, 1), origin: time.Now().Add(-clockBefore),
 		workloads: map[string]decision.WorkloadID{}, groups: map[decision.MemberGroup]bool{}}
