Every execution ends once, whenever it lapses; answers go 50 ms before a client's time is up

Looked for by reading: an execution whose time ran out between the look at its stage and its start would have had no end, since run left it to lapsed and lapsed had looked too early (run, after CompareAndSwap). A test lapses 300 executions before, while and after their start. The grain is 25 ms now: two of them are left before the client's time.

--- a/cmd/bankledge/main_test.go
+++ b/cmd/bankledge/main_test.go
@@ -324,7 +324,7 @@
 		b = append(append(b, byte(len(name))), name...)
 		b = append(binary.BigEndian.AppendUint16(b, uint16(len(value))), value...)
 	}
-	return string(b) + "SELECT * FROM sales_17.orders"
+	return string(b) + fmt.Sprintf("SELECT * FROM sales_%d.orders", n)
 }
 
 func TestOneStatement(t *testing.T) {
@@ -375,7 +375,7 @@
 				engines = append(engines, newEngine(t, "two", map[string][]step{"POST": {done("two\n")}}))
 			}
 			conn := dial(t, start(t, newControl(t), 256, engines...))
-			// The hash may name either engine first: statements of other ids follow until the first engine had one.
+			// The hash may name either engine first: other table groups follow until the first engine had one.
 			for n := uint32(1); ; n++ {
 				conn.send(7, n, statement(c.workload, int(n), "h", strconv.Itoa(int(10*n))))
 				_, stream, code, body := conn.read()
@@ -403,7 +403,7 @@
 	r := start(t, newControl(t), 256, e)
 	c := dial(t, r)
 	c.send(7, 1, statement("lookup", 1))
-	assert.Equal(t, "POST lookup SELECT * FROM sales_17.orders", e.await(t, "POST"))
+	assert.Equal(t, "POST lookup SELECT * FROM sales_1.orders", e.await(t, "POST"))
 	for _, b := range frameOf(7, 2, statement("lookup", 2)) { // a frame that comes in pieces
 		_, err := c.Write([]byte{b})
 		require.NoError(t, err)
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -107,8 +107,8 @@
 	x.conn = c
 	defer func() { x.release(x.conn != nil) }()
 	left := time.Until(x.Until)
-	if left < time.Millisecond || !x.stage.CompareAndSwap(waiting, started) {
-		return decision.NeverSent, nil, true
+	if left < time.Millisecond || !x.stage.CompareAndSwap(waiting, started) || x.ctx.Err() != nil {
+		return decision.NeverSent, nil, true // the last: lapsed may have looked before it was started
 	}
 	head, body, whole, err := x.ask(message("POST", "/x", c.address, x.Text, fieldID, string(x.Statement),
 		fieldWorkload, x.Workload, fieldLimit, millis(left), "Content-Length", strconv.Itoa(len(x.Text))))
--- /dev/null
+++ b/internal/back/execution_test.go
@@ -0,0 +1,68 @@
+package back
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"bankledge/decision"
+)
+
+type ends chan decision.ExecutionEnded
+
+func (e ends) Noted(decision.ExecutionNoted)                 {}
+func (e ends) Ended(ended decision.ExecutionEnded, _ []byte) { e <- ended }
+func (e ends) Probed(decision.ProbeEnded)                    {}
+
+// Whenever an execution is given up or its time is up, before, while and after it is started, it has one end,
+// and one that was never started never reached the engine.
+func TestEveryExecutionEndsOnce(t *testing.T) {
+	started := make(chan string, 1000)
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == "POST" {
+			started <- r.Header.Get("X-Txn")
+		}
+		w.WriteHeader(map[string]int{"POST": 202, "GET": 202, "DELETE": 204}[r.Method])
+	}))
+	defer engine.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	heard := make(ends, 1000)
+	b := New(ctx, heard, 20, time.Minute, time.Second, zap.NewNop())
+	b.Know("e", engine.Listener.Addr().String())
+	const n = 300
+	for i := range n {
+		order := Order{Statement: decision.StatementID(strconv.Itoa(i)), Engine: "e", Until: time.Now().Add(time.Minute)}
+		lapse := time.Duration(i) * 10 * time.Microsecond
+		if i%2 == 0 {
+			order.Until = time.Now().Add(lapse + time.Millisecond)
+		}
+		x := b.Execute(order)
+		if i%2 == 1 {
+			time.AfterFunc(lapse, x.GiveUp)
+		}
+	}
+	seen := map[decision.StatementID]decision.Outcome{}
+	for range n {
+		select {
+		case ended := <-heard:
+			_, twice := seen[ended.Statement]
+			require.False(t, twice)
+			seen[ended.Statement] = ended.Outcome
+		case <-time.After(20 * time.Second):
+			t.Fatalf("only %d of %d have ended", len(seen), n)
+		}
+	}
+	cancel()
+	require.NoError(t, b.Tend(ctx))
+	assert.Zero(t, b.Descriptors(), "all given back")
+	for len(started) > 0 {
+		assert.NotEqual(t, decision.NeverSent, seen[decision.StatementID(<-started)])
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,7 +31,7 @@
 	heapShare    = 0.6                   // of the memory, where the runtime collects its garbage ever more eagerly
 	heapGrowth   = 400                   // percent, as long as the heap is far below that
 	textShare    = 6                     // statements' texts hold one part in so many of the memory
-	wakeTime     = 10 * time.Millisecond // that a call to the module may be late on a core that others use, too
+	wakeTime     = 25 * time.Millisecond // that a call to the module may be late on a core that others use, too
 	clockBefore  = time.Hour             // the module's clock starts so long before the router
 	inboxSize    = 4096
 	reachPause   = 100 * time.Millisecond
