An execution that lapses always has its end, and one out of time says nothing of its engine

Found by the test of lapsing executions, run many times: (1) in one of two batches an execution never ended. Execute stopped the call to lapsed after run had left the end to it; between the context's end and that call's start, stop() took it back (faulty line: if stop(); known). The module would have counted such an execution against its engine for ever. (2) A statement whose time ran out while its connection was being made was told as not connected, after which the module leaves a healthy engine and takes it for cold (run, after pool.get).

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -131,8 +131,8 @@
 	b.running.Go(func() {
 		defer cancel()
 		stop := context.AfterFunc(ctx, x.lapsed)
-		outcome, result, known := x.run()
-		if stop(); known {
+		if outcome, result, known := x.run(); known { // else lapsed tells the end, and may yet have to begin
+			stop()
 			x.end(outcome, x.report, result)
 		}
 	})
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -99,8 +99,8 @@
 	}()
 	c, err := x.back.pool.get(x.ctx, x.Engine, false)
 	if err != nil {
-		if x.ctx.Err() != nil || errors.Is(err, errNoSlot) || errors.Is(err, errNoEngine) {
-			return decision.NeverSent, nil, true
+		if x.ctx.Err() != nil || !time.Now().Before(x.Until) || errors.Is(err, errNoSlot) || errors.Is(err, errNoEngine) {
+			return decision.NeverSent, nil, true // says nothing of the engine
 		}
 		return decision.NotConnected, nil, true // refused, or not up in time: it proves that nothing ran
 	}
--- a/internal/back/execution_test.go
+++ b/internal/back/execution_test.go
@@ -54,11 +54,21 @@
 		case ended := <-heard:
 			_, twice := seen[ended.Statement]
 			require.False(t, twice)
+			require.Contains(t, []decision.Outcome{decision.NeverSent, decision.Cancelled, decision.TimedOut}, ended.Outcome)
 			seen[ended.Statement] = ended.Outcome
 		case <-time.After(20 * time.Second):
 			t.Fatalf("only %d of %d have ended", len(seen), n)
 		}
 	}
+	// Lapsed after a connection was had and before it was started: nobody else would tell of its end.
+	require.NoError(t, b.Reach(ctx, "e"))
+	over, lapse := context.WithCancel(ctx)
+	lapse()
+	x := &Execution{back: b, ctx: over, Order: Order{Statement: "late", Engine: "e", Until: time.Now().Add(time.Minute)}}
+	outcome, _, known := x.run()
+	assert.True(t, known && outcome == decision.NeverSent)
+	seen["late"] = outcome
+
 	cancel()
 	require.NoError(t, b.Tend(ctx))
 	assert.Zero(t, b.Descriptors(), "all given back")
