SIGHUP reads the configuration again; places go to who asks, not to who stays silent

Ruled out: descriptors for engines (24 of 147 in use), CPU (0.05 of a core), the module (delay 0.03 ms).

Faulty: Front.Serve took a place before accepting and never made one; idleTime was the only bound on silence.

Now a connection with nothing open makes room for a new one: the unfit first, then the silent, then the idle. A frame must come whole within 2 s, the first from the connection's start. Large unfinished frames share a twelfth of the memory. Clients that left are found by their stream, not by a walk over all open statements. An id that was answered is not taken again, since an engine may hold its result. A text that is none is rejected. Giving back the text of a statement whose id is in use was counted twice.

--- a/cmd/bankledge/main.go
+++ b/cmd/bankledge/main.go
@@ -30,27 +30,38 @@
 	Level  zapcore.Level `env:"LB_LOG_LEVEL" default:"info" help:"Lowest level of the log lines: debug, info, warn, error."`
 }
 
-// Run serves until SIGTERM or an interrupt.
+// Run serves until SIGTERM or an interrupt. SIGHUP has it read the configuration again, at any time.
 func (s *serve) Run() error {
-	cfg, err := settings.Load(s.Config)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	cfg, err := s.load()
 	if err != nil {
 		return err
 	}
+	log, flush := newLog(s.Level)
+	defer flush()
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	return gateway.New(cfg, log).Run(stop, reload, s.load)
+}
+
+// load reads the configuration, with what the command line or the environment says in its place.
+func (s *serve) load() (*settings.Config, error) {
+	cfg, err := settings.Load(s.Config)
+	if err != nil {
+		return nil, err
+	}
 	if s.Listen != "" {
 		if err := settings.CheckAddress(s.Listen); err != nil {
-			return fmt.Errorf("listen: %w", err)
+			return nil, fmt.Errorf("listen: %w", err)
 		}
 		cfg.Listen = s.Listen
 	}
 	if s.Name != "" {
 		cfg.Name = s.Name
 	}
-	log, flush := newLog(s.Level)
-	defer flush()
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
-	signal.Ignore(syscall.SIGPIPE)
-	return gateway.New(cfg, log).Run(stop)
+	return cfg, gateway.Check(cfg)
 }
 
 type check struct {
--- a/cmd/bankledge/main_test.go
+++ b/cmd/bankledge/main_test.go
@@ -183,11 +183,30 @@
 // router is the program under test.
 type router struct {
 	cmd    *exec.Cmd
+	config string // its file
 	listen string
-	log    *bytes.Buffer
+	log    *lockedLog
 	ended  chan error
 }
 
+// lockedLog is the program's log, read while it is written.
+type lockedLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lockedLog) add(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text.WriteString(line + "\n")
+}
+
+func (l *lockedLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 func writeConfig(t *testing.T, f *control, sockets int, engines ...*engine) string {
 	var members []string
 	for _, e := range engines {
@@ -210,15 +229,15 @@
 
 // start starts the program and waits until it is ready. Its address comes from its log.
 func start(t *testing.T, f *control, sockets int, engines ...*engine) *router {
-	r := &router{cmd: exec.Command(program, "serve"), log: &bytes.Buffer{}, ended: make(chan error, 1)}
-	r.cmd.Env = append(os.Environ(), "LB_CONFIG="+writeConfig(t, f, sockets, engines...))
+	r := &router{cmd: exec.Command(program, "serve"), config: writeConfig(t, f, sockets, engines...), log: &lockedLog{}, ended: make(chan error, 1)}
+	r.cmd.Env = append(os.Environ(), "LB_CONFIG="+r.config)
 	pipe, err := r.cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, r.cmd.Start())
 	address, lines := make(chan string, 1), bufio.NewScanner(pipe)
 	go func() {
 		for lines.Scan() {
-			r.log.WriteString(lines.Text() + "\n")
+			r.log.add(lines.Text())
 			var line struct{ Msg, Listen string }
 			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "serving" {
 				address <- line.Listen
@@ -453,7 +472,7 @@
 func TestBadFrames(t *testing.T) {
 	e := newEngine(t, "one", map[string][]step{"POST": {done("fine\n")}})
 	r := start(t, newControl(t), 256, e)
-	for _, c := range []struct {
+	for i, c := range []struct {
 		name, want string
 		frame      []byte
 		stream     uint32
@@ -473,6 +492,8 @@
 		{"endless time", "field d", frameOf(7, 1, statement("lookup", 1, "d", "Inf")), 1, 50},
 		{"an estimate below 0", "field h", frameOf(7, 1, statement("lookup", 1, "h", "-1")), 1, 50},
 		{"an estimate that is no number", "field heap_mb", frameOf(7, 1, statement("lookup", 1, "heap_mb", "NaN")), 1, 50},
+		{"no text", "not a text", frameOf(7, 1, statement("lookup", 1)[:len(statement("lookup", 1))-len("SELECT * FROM sales_1.orders")]), 1, 50},
+		{"a text that is none", "not a text", frameOf(7, 1, statement("lookup", 1)+"\xff\x00"), 1, 50},
 		{"an odd mark", "field r", frameOf(7, 1, statement("lookup", 1, "r", "maybe")), 1, 50},
 		{"length too small", "frame length", []byte{0, 0, 0, 4, 7, 0, 0, 0}, 0, 51},
 		{"length too large", "frame length", []byte{0xff, 0, 0, 0, 7}, 0, 51},
@@ -489,9 +510,11 @@
 				require.ErrorIs(t, err, io.EOF)
 				return
 			}
-			conn.send(7, 2, statement("lookup", 1))
+			conn.send(7, 2, statement("lookup", 100+i))
 			conn.answer(2, 20, "fine\n")
-			conn.send(7, 2, statement("lookup", 1))
+			conn.send(7, 3, statement("lookup", 100+i))
+			conn.answer(3, 50, "id is in use") // also once it was answered: the engine has its result still
+			conn.send(7, 2, statement("lookup", 200+i))
 			_, stream, code, _ = conn.read()
 			assert.Equal(t, []any{uint32(0), byte(51)}, []any{stream, code}, "a stream used again")
 		})
@@ -519,6 +542,41 @@
 	assert.Equal(t, before, one.count("POST")+two.count("POST"), "nothing new goes to what drains or is gone")
 }
 
+// SIGHUP: the feed is followed at its new place from the number last taken, and nothing else is touched; a file
+// that is unfit changes nothing.
+func TestReload(t *testing.T) {
+	finish := make(chan struct{})
+	one := newEngine(t, "one", map[string][]step{"POST": {says(202, "")}, "GET 0": {after(finish, done("one\n"))}})
+	two := newEngine(t, "two", map[string][]step{"POST": {done("two\n")}})
+	before, now := newControl(t), newControl(t)
+	r := start(t, before, 256, one)
+	assert.Equal(t, "1", <-before.asked)
+	c := dial(t, r)
+	c.send(7, 1, statement("load", 1))
+	one.await(t, "GET 0")
+	before.events <- "id: 2\ndata: {\"n\":2,\"members\":{\"members\":[" + member(one, "leaving") + "]}}\n\n"
+	before.events <- ""
+	assert.Equal(t, "2", <-before.asked)
+
+	reload := func(path string, edit ...string) {
+		raw, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(r.config, []byte(strings.NewReplacer(edit...).Replace(string(raw))), 0o600))
+		require.NoError(t, r.cmd.Process.Signal(syscall.SIGHUP))
+	}
+	moved := writeConfig(t, now, 256, one)
+	reload(moved)
+	assert.Equal(t, "2", <-now.asked, "goes on where it was")
+	reload(moved, `"seed":"`, `"seed":"x`)
+	require.Eventually(t, func() bool { return strings.Contains(r.log.String(), "unfit") }, patience, time.Millisecond)
+	assert.Contains(t, r.log.String(), "seed: ")
+	now.events <- fmt.Sprintf("id: 3\ndata: {\"n\":3,\"members\":{\"members\":[%s]}}\n\n", member(two, "active"))
+	c.send(7, 2, statement("lookup", 2))
+	c.answer(2, 20, "two\n") // held until the engine was known
+	close(finish)
+	c.answer(1, 20, "one\n") // it was open all the while
+}
+
 func TestEngineThatIsNotThere(t *testing.T) {
 	one := newEngine(t, "one", map[string][]step{"POST": {done("one\n")}})
 	two := newEngine(t, "two", map[string][]step{"POST": {done("two\n")}})
@@ -568,35 +626,72 @@
 	}
 }
 
+// Whoever connects gets a place as long as somebody has nothing open: first the unfit, then the silent, then the idle.
 func TestDescriptorsUsedUp(t *testing.T) {
+	finish := make(chan struct{})
 	e := newEngine(t, "one", map[string][]step{"POST": {done("fine\n")}})
 	r := start(t, newControl(t), 64, e) // 21 for clients, 19 for engines
-	var held []*client
-	for range 21 {
+	idle := dial(t, r)
+	idle.send(7, 1, statement("lookup", 1000))
+	idle.answer(1, 20, "fine\n")
+	var unfit []*client
+	for range 30 { // more than there are places
 		c := dial(t, r)
-		c.send(1, 0, "\x00")
-		c.read()
-		held = append(held, c)
+		c.send(7, 1, statement("odd", 1))
+		c.answer(1, 50, "field c: unknown workload")
+		unfit = append(unfit, c)
 	}
+	_, err := unfit[0].r.ReadByte()
+	require.Error(t, err, "the first one that was unfit had to go")
+	for range 50 {
+		silent := dial(t, r)
+		defer silent.Close()
+	}
+	idle.send(7, 2, statement("lookup", 1001))
+	idle.answer(2, 20, "fine\n")
+	e.mu.Lock()
+	e.script = map[string][]step{"POST": {says(202, "")}, "GET 0": {after(finish, done("fine\n"))}}
+	e.mu.Unlock()
+	var busy []*client
+	for i := range 21 {
+		c := dial(t, r)
+		c.send(7, 1, statement("load", i))
+		busy = append(busy, c)
+	}
+	e.await(t, "POST load")
 	waits := dial(t, r) // the kernel holds it until there is room
-	waits.send(7, 1, statement("lookup", 1))
+	waits.send(1, 0, "\x00")
 	require.NoError(t, waits.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
-	_, err := waits.r.ReadByte()
+	_, err = waits.r.ReadByte()
 	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
-	for stream := range uint32(10) { // many more statements than descriptors for engines
-		for i, c := range held {
-			c.send(7, stream+1, statement("lookup", int(stream)*100+i))
-		}
-	}
-	for range 10 {
-		for _, c := range held {
-			_, _, code, body := c.read()
-			assert.Equal(t, []any{byte(20), "fine\n"}, []any{code, body})
-		}
+	close(finish)
+	for _, c := range busy {
+		c.answer(1, 20, "fine\n")
 	}
-	held[0].Close()
 	require.NoError(t, waits.SetDeadline(time.Now().Add(patience)))
-	waits.answer(1, 20, "fine\n")
+	kind, _, code, _ := waits.read()
+	assert.Equal(t, []any{byte(2), byte(20)}, []any{kind, code})
+}
+
+// What comes in pieces and never whole, or not at all, ends in time.
+func TestSilentClients(t *testing.T) {
+	r := start(t, newControl(t), 256, newEngine(t, "one", map[string][]step{"POST": {done("fine\n")}}))
+	for _, c := range []struct{ name, first, last string }{
+		{"nothing", "", ""},
+		{"half a frame", string(frameOf(7, 1, statement("lookup", 1))[:20]), "the frame did not come whole in time"},
+		{"half a frame after a whole one", string(frameOf(1, 0, "\x00")) + "\x00\x00\x00", "the frame did not come whole in time"},
+		{"a frame that is large, and endless", "\x00\x04\x00\x00\x07", "the frame did not come whole in time"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			conn, began := dial(t, r), time.Now()
+			_, err := io.WriteString(conn, c.first)
+			require.NoError(t, err)
+			said, _ := io.ReadAll(conn) // to the end of the connection
+			assert.Contains(t, string(said), c.last)
+			assert.Less(t, time.Since(began), 3*time.Second)
+		})
+	}
 }
 
 func TestCommands(t *testing.T) {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -12,6 +12,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,10 +23,10 @@
 )
 
 const (
-	silence    = 3 * time.Second // a comment comes each second: a feed so long silent is dead
-	connectIn  = time.Second
+	silence    = 2500 * time.Millisecond // a comment comes each second: a feed so long silent is dead
+	connectIn  = 500 * time.Millisecond
 	pauseFirst = 50 * time.Millisecond
-	pauseMost  = time.Second
+	pauseMost  = 400 * time.Millisecond
 	mostEvent  = 4 << 20 // bytes of one event
 	mostErrors = 3       // an event that cannot be read is asked for so often, then passed over
 )
@@ -106,6 +107,58 @@
 
 	skipped  int  // tries at the event that could not be read
 	gapAsked bool // a gap was asked for again already
+
+	mu    sync.Mutex
+	next  *place             // where to go on, if elsewhere
+	leave context.CancelFunc // ends the present connection, or the pause before the next
+}
+
+// place is where the feed is to be found, and the events that are known from elsewhere.
+type place struct {
+	address string
+	known   []json.RawMessage
+}
+
+// Move makes the feed go on at another address, from the number last taken, at once. Events that the caller
+// knows of are taken first, as far as they are new. Of several moves the last counts.
+func (f *Feed) Move(address string, known []json.RawMessage) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = &place{address, known}
+	if f.leave != nil {
+		f.leave()
+	}
+}
+
+// settle carries out a move; the context that it returns ends with the next one.
+func (f *Feed) settle(ctx context.Context) (stay context.Context, leave context.CancelFunc, moved bool) {
+	f.mu.Lock()
+	next := f.next
+	f.next = nil
+	stay, leave = context.WithCancel(ctx)
+	f.leave = leave
+	f.mu.Unlock()
+	if next != nil {
+		f.Log.Info("control feed moves", zap.String("to", next.address), zap.Int64("last", f.Last))
+		f.Address = next.address
+		f.catchUp(next.known)
+	}
+	return stay, leave, next != nil
+}
+
+// catchUp takes what is new of a list of events, as far as it follows on what was taken.
+func (f *Feed) catchUp(known []json.RawMessage) {
+	for _, raw := range known {
+		c, held, err := Parse(raw, f.Origin, time.Now())
+		if err != nil || c.Number > f.Last+1 && !c.Complete {
+			return // the feed itself tells of it
+		}
+		if c.Number > f.Last {
+			if f.Last = c.Number; held {
+				f.Take(c)
+			}
+		}
+	}
 }
 
 // Follow follows the feed until ctx ends: a connection that ends or falls silent is made anew at once, then
@@ -113,20 +166,24 @@
 func (f *Feed) Follow(ctx context.Context) error {
 	pause := time.Duration(0)
 	for ctx.Err() == nil {
+		stay, leave, moved := f.settle(ctx)
+		if moved {
+			pause = 0
+		}
 		before := f.Last
 		began := time.Now()
-		err := f.once(ctx)
-		if ctx.Err() != nil {
-			break
-		}
+		err := f.once(stay)
 		if f.Last > before || time.Since(began) > silence {
 			pause = 0
 		}
-		f.Log.Warn("control feed lost, connecting anew", zap.Error(err), zap.Int64("last", f.Last), zap.Duration("pause", pause))
+		if stay.Err() == nil {
+			f.Log.Warn("control feed lost, connecting anew", zap.Error(err), zap.Int64("last", f.Last), zap.Duration("pause", pause))
+		}
 		select {
 		case <-time.After(pause):
-		case <-ctx.Done():
+		case <-stay.Done():
 		}
+		leave()
 		pause = min(pauseMost, max(pauseFirst, 2*pause))
 	}
 	return nil
--- a/internal/front/frame.go
+++ b/internal/front/frame.go
@@ -63,6 +63,14 @@
 // Fields are the named values of a frame.
 type Fields map[string]string
 
+// frameSize is the size of the frame that begins here, as it claims; 0: not known yet.
+func frameSize(raw []byte) int {
+	if len(raw) < headBytes {
+		return 0
+	}
+	return headBytes + int(binary.BigEndian.Uint32(raw))
+}
+
 // parseFields reads the fields at the start of a payload and returns what follows them.
 func parseFields(raw []byte) (Fields, []byte, error) {
 	if len(raw) < 1 {
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"bytes"
 	"math"
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"bankledge/decision"
 	"bankledge/internal/front"
@@ -29,6 +31,7 @@
 	idDigits  = 16
 	mostTime  = 24 * time.Hour // that a client may wait
 	mostGuess = 1e9            // of an estimate, in milliseconds or MB
+	noMemory  = "no memory left for the statement"
 )
 
 // admit makes the record of a statement, or tells why there is none.
@@ -60,9 +63,12 @@
 	case f[fieldResent] != "" && f[fieldResent] != "1":
 		return nil, arrived, "field r: neither absent nor 1"
 	}
+	if !utf8.Valid(text) || bytes.IndexByte(text, 0) >= 0 || len(bytes.TrimSpace(text)) == 0 {
+		return nil, arrived, "the statement is not a text"
+	}
 	if g.texts.Add(int64(len(text))) > g.cfg.Limits.MemoryMB<<20/textShare {
 		g.texts.Add(-int64(len(text)))
-		return nil, arrived, "no memory left for the statement"
+		return nil, arrived, noMemory
 	}
 	budget := time.Duration(left * float64(time.Millisecond))
 	arrived = decision.StatementArrived{Statement: decision.StatementID(id), Workload: workload, Group: group,
--- a/internal/gateway/book.go
+++ b/internal/gateway/book.go
@@ -38,6 +38,9 @@
 // of the end.
 func (r *route) close(s *statement) {
 	s.over = true
+	if r.from[stmtAt{s.client, s.stream}] == s {
+		delete(r.from, stmtAt{s.client, s.stream})
+	}
 	for _, x := range s.execs {
 		x.Revoke()
 	}
@@ -67,6 +70,26 @@
 	r.gateway.texts.Add(-int64(len(s.text)))
 }
 
+// usedIDs remembers the latest ids of statements that were answered: an engine may hold their results still, and
+// would give them for another statement of the same id. Of the two halves the older is forgotten when the newer is full.
+type usedIDs struct {
+	half       int
+	now, older map[decision.StatementID]struct{}
+}
+
+func (u *usedIDs) add(id decision.StatementID) {
+	if u.now == nil || len(u.now) >= u.half {
+		u.now, u.older = make(map[decision.StatementID]struct{}, u.half), u.now
+	}
+	u.now[id] = struct{}{}
+}
+
+func (u *usedIDs) has(id decision.StatementID) bool {
+	_, now := u.now[id]
+	_, older := u.older[id]
+	return now || older
+}
+
 // post takes an input from an execution's goroutine. Once the route has ended nobody hears it.
 func (r *route) post(in input) {
 	in.at = time.Now()
@@ -125,7 +148,7 @@
 			zap.Int64("completed", f.completed.Load()), zap.Int64("rejected", f.rejected.Load()),
 			zap.Int64("aborted", f.aborted.Load()), zap.Int64("left", f.left.Load()), zap.Int64("unfit", f.unfit.Load()),
 			zap.Int64("executions", f.executions.Load()), zap.Int64s("outcomes", outcomes), zap.Int64("probes", f.probes.Load()),
-			zap.Int("engine_connections", g.back.Descriptors()), zap.Any("dials", g.back.Dials()), zap.Int64("text_bytes", g.texts.Load()),
+			zap.Int64("evicted_clients", g.front.Evicted()), zap.Int("engine_connections", g.back.Descriptors()), zap.Any("dials", g.back.Dials()), zap.Int64("text_bytes", g.texts.Load()),
 			zap.Duration("delay_mean", time.Duration(f.delaySum.Swap(0)/n)),
 			zap.Duration("delay_most", time.Duration(f.delayMost.Swap(0))))
 		if ended {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -31,6 +32,8 @@
 	heapShare    = 0.6                   // of the memory, where the runtime collects its garbage ever more eagerly
 	heapGrowth   = 400                   // percent, as long as the heap is far below that
 	textShare    = 6                     // statements' texts hold one part in so many of the memory
+	frameShare   = 12                    // and large frames that have not come whole one in so many
+	idsPerMB     = 64                    // of answered statements, remembered for each MB of memory
 	wakeTime     = 25 * time.Millisecond // that a call to the module may be late on a core that others use, too
 	clockBefore  = time.Hour             // the module's clock starts so long before the router
 	inboxSize    = 4096
@@ -75,14 +78,16 @@
 	for _, s := range o.Shares.Groups {
 		g.groups[s.Group] = true
 	}
-	g.front = front.New(g, cfg.Limits.Sockets/clientShare, log)
+	g.front = front.New(g, cfg.Limits.Sockets/clientShare, cfg.Limits.MemoryMB<<20/frameShare, log)
 	g.route = &route{gateway: g, inbox: make(chan input, inboxSize), done: make(chan struct{}), open: map[decision.StatementID]*statement{},
+		from: map[stmtAt]*statement{}, used: usedIDs{half: idsPerMB * int(cfg.Limits.MemoryMB) / 2},
 		module: policy.New(o.Identity, o.Workloads, o.Engines, o.Shares, o.Limits, o.Rules, o.Reports)}
 	return g
 }
 
-// Run serves until stop ends, and then until what was taken is answered.
-func (g *Gateway) Run(stop context.Context) error {
+// Run serves until stop ends, and then until what was taken is answered. At each sign to reload it takes over
+// the configuration that load reads.
+func (g *Gateway) Run(stop context.Context, reload <-chan os.Signal, load func() (*settings.Config, error)) error {
 	runtime.GOMAXPROCS(max(1, int(g.cfg.Limits.Cores+0.5)))
 	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(heapShare * float64(g.cfg.Limits.MemoryMB<<20)))
@@ -106,6 +111,7 @@
 	group.Go(func() error { return g.back.Tend(ctx) })
 	group.Go(func() error { return g.front.Serve(ctx, listener) })
 	group.Go(func() error { return follow.Follow(ctx) })
+	group.Go(func() error { return g.awaitReload(ctx, reload, load, follow) })
 	group.Go(func() error { return g.reach(ctx, known) })
 	group.Go(func() error { return g.report(ctx) })
 	group.Go(func() error {
@@ -180,6 +186,28 @@
 	return nil
 }
 
+// awaitReload waits for signs to read the configuration again. Only the control feed's address and events that
+// are not known yet are taken over: all else is fixed at the start. One that is unfit changes nothing.
+func (g *Gateway) awaitReload(ctx context.Context, reload <-chan os.Signal, load func() (*settings.Config, error),
+	follow *feed.Feed) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-reload:
+		}
+		cfg, err := load()
+		if err != nil {
+			g.log.Error("the new configuration is unfit, the old one stays in force", zap.Error(err))
+			continue
+		}
+		fixed := g.cfg.Differs(cfg)
+		g.log.Info("configuration read again", zap.String("feed", cfg.Feed), zap.Int64("known", cfg.LastID),
+			zap.Strings("changed_but_fixed_until_a_restart", fixed))
+		follow.Move(cfg.Feed, cfg.Known)
+	}
+}
+
 // awaitStop waits for the sign to stop. Then no client is to send new statements, those that come all the
 // same are answered, and the router ends when all are, or when its time is up.
 func (g *Gateway) awaitStop(ctx, stop context.Context, listener net.Listener) error {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -24,7 +24,7 @@
 	g := New(cfg, zap.NewNop())
 	stop, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- g.Run(stop) }()
+	go func() { ended <- g.Run(stop, nil, nil) }()
 	address := <-g.Serving()
 	c, err := net.Dial("tcp", address.String())
 	require.NoError(t, err)
@@ -37,12 +37,12 @@
 
 type nobody struct{ heard func() }
 
-func (n nobody) Answer(uint32, front.Code, []byte) {
+func (n *nobody) Answer(uint32, front.Code, []byte) {
 	if n.heard != nil {
 		n.heard()
 	}
 }
-func (nobody) Release(uint32) {}
+func (*nobody) Release(uint32) {}
 
 // An execution that still waits for a connection is revoked before the client can know of the answer.
 func TestNothingIsSentAfterTheAnswer(t *testing.T) {
@@ -51,7 +51,7 @@
 	g.back = back.New(t.Context(), g, 0, time.Minute, time.Minute, g.log) // with no descriptor to be had
 	s := &statement{id: "x", ends: time.Now().Add(time.Minute)}
 	heard := false
-	s.client = nobody{func() {
+	s.client = &nobody{func() {
 		heard = true
 		require.False(t, s.execs[0].Revoke(), "it was revoked before")
 	}}
@@ -67,7 +67,7 @@
 func TestModuleFails(t *testing.T) {
 	cfg := &settings.Config{Limits: settings.Machine{Cores: 1, MemoryMB: 64, Sockets: 128}, Opening: &settings.Opening{}}
 	g := New(cfg, zap.NewNop()) // a module without workloads
-	s := &statement{id: "x", client: nobody{}, taken: time.Now(), ends: time.Now()}
+	s := &statement{id: "x", client: &nobody{}, taken: time.Now(), ends: time.Now()}
 	g.figures.open.Add(1)
 	g.route.handle([]input{{event: decision.StatementArrived{Statement: "x", Workload: 7}, stmt: s}})
 	require.Contains(t, g.route.open, s.id)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -23,6 +23,9 @@
 	if s.over {
 		return
 	}
+	if r.open[s.id] == s {
+		r.used.add(s.id)
+	}
 	r.close(s)
 	s.client.Answer(s.stream, code, body)
 	r.gateway.figures.answered(code)
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -30,6 +30,8 @@
 	inbox   chan input
 	done    chan struct{}                       // closed when nobody hears the inbox any more
 	open    map[decision.StatementID]*statement // those not given back yet
+	from    map[stmtAt]*statement               // of these the ones that are not over, by where they came from
+	used    usedIDs
 	timers  []decision.SetTimer
 	looked  time.Time // by the backstop
 }
@@ -115,22 +117,21 @@
 // hear does the book's part of an input and returns the module's event, or nil if it is of no concern to it.
 func (r *route) hear(in input, now time.Duration) decision.Event {
 	if in.left != nil {
-		for _, s := range r.open {
-			if s.client == in.left.client && s.stream == in.left.stream && !s.over {
-				r.endUnanswered(s)
-				return decision.ClientLeft{Statement: s.id}
-			}
+		s := r.from[*in.left]
+		if s == nil {
+			return nil
 		}
-		return nil
+		r.endUnanswered(s)
+		return decision.ClientLeft{Statement: s.id}
 	}
 	switch ev := in.event.(type) {
 	case decision.StatementArrived:
-		if r.open[ev.Statement] != nil { // its id is in use: this one never ran
+		if r.open[ev.Statement] != nil || r.used.has(ev.Statement) { // an engine knows it as another: this one never ran
 			r.answer(in.stmt, rejected, []byte("id is in use"))
-			r.giveBack(in.stmt)
 			return nil
 		}
 		r.open[ev.Statement] = in.stmt
+		r.from[stmtAt{in.stmt.client, in.stmt.stream}] = in.stmt
 		ev.TimeBudget = in.stmt.ends.Sub(r.gateway.origin) - now // less what has passed since it was taken
 		return ev
 	case decision.ExecutionEnded:
--- a/internal/gateway/takein.go
+++ b/internal/gateway/takein.go
@@ -3,25 +3,29 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"bankledge/internal/front"
 )
 
 // Take in: what clients send comes here from their connections' goroutines, is admitted or answered, and
 // goes to the route stage in the order in which it came.
 
-// TakeIn takes a statement that has come whole.
-func (g *Gateway) TakeIn(c *front.Conn, stream uint32, fields front.Fields, text []byte) {
+// TakeIn takes a statement that has come whole, and tells whether it was fit.
+func (g *Gateway) TakeIn(c *front.Conn, stream uint32, fields front.Fields, text []byte) bool {
 	taken := time.Now()
 	g.figures.taken.Add(1)
 	stmt, arrived, why := g.admit(fields, text, taken)
 	if why != "" {
 		g.figures.unfit.Add(1)
+		g.log.Debug("a statement was unfit", zap.String("why", why), zap.Any("fields", fields), zap.Int("bytes", len(text)))
 		c.Answer(stream, front.CodeRejected, []byte(why))
-		return
+		return why == noMemory
 	}
 	stmt.client, stmt.stream = c, stream
 	g.figures.open.Add(1)
 	g.route.post(input{event: arrived, stmt: stmt})
+	return true
 }
 
 // Left tells that the client waits no longer for these streams.
--- a/internal/settings/config.go
+++ b/internal/settings/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 )
 
@@ -19,6 +20,22 @@
 	Known   []json.RawMessage // the control feed's events up to now
 	LastID  int64             // number of the last of them
 	Opening *Opening
+
+	settings any // as they stand in the file
+}
+
+// Differs names the fields that are read only at the start and differ in another configuration.
+func (c *Config) Differs(other *Config) (fields []string) {
+	for _, f := range []struct {
+		name      string
+		ours, now any
+	}{{"name", c.Name, other.Name}, {"listen", c.Listen, other.Listen}, {"limits", c.Limits, other.Limits},
+		{"settings", c.settings, other.settings}} {
+		if !reflect.DeepEqual(f.ours, f.now) {
+			fields = append(fields, f.name)
+		}
+	}
+	return fields
 }
 
 // Machine is what the platform gives the router.
@@ -86,6 +103,9 @@
 	if c.Opening, err = Open(c.Seed, in.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if err := json.Unmarshal(in.Settings, &c.settings); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
 	if len(c.Opening.Workloads) == 0 {
 		return nil, errors.New("settings: classes: none")
 	}
