What is spoilt or breaks off on its way is asked for again on another connection

Faulty: isFinal in internal/back/execution.go ended an execution at one unreadable answer, so a non-idempotent statement was aborted and an idempotent one run again; errNoPage likewise.

Now a connection that brought anything out of step is dropped, the end or the page is asked for again, 16 unusable answers are the most for an execution. An answer with more behind it counts once it has come the same twice: its length may be wrong. A body that only the end of the connection ends is none; a claim beyond the most is not read. A connection rests 10 ms before another call takes it, so a late second copy shows. A POST of which a part was not written is 'never sent', no sign of a lost engine. Addresses are kept by engine as long as it is listed: a new engine at a gone one's address inherits nothing.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	mostBody   = 64 << 10 // bytes of one answer of an engine
-	mostResult = 64 << 10 // bytes of a whole result; the protocol's most is 48,000
+	mostBody   = 6_000  // bytes of a page
+	mostResult = 48_000 // bytes of a whole result
 	mostPages  = 1 << 12
+	mostSpoilt = 16 // answers of an execution that cannot be used, before it counts as an error
 
 	pollHeld  = 250 * time.Millisecond // an engine holds a poll so long when there is no news
-	pollSlack = 750 * time.Millisecond // beyond it a poll counts as hanging
+	pollSlack = 500 * time.Millisecond // beyond it a poll counts as hanging
 	forgets   = 2 * time.Second        // an engine drops what has not been asked for so long
 	forgetOff = 300 * time.Millisecond // for what was on its way
 	askAgain  = 50 * time.Millisecond  // between tries on a connection that does not come up
@@ -60,6 +61,12 @@
 // Know tells where an engine listens.
 func (b *Back) Know(engine decision.EngineID, address string) { b.pool.know(engine, address) }
 
+// Forget drops what is kept of an engine that is gone.
+func (b *Back) Forget(engine decision.EngineID) { b.pool.forget(engine) }
+
+// Keep forgets all engines but these.
+func (b *Back) Keep(listed map[decision.EngineID]bool) { b.pool.keep(listed) }
+
 // CloseIdle closes the idle connections to an engine.
 func (b *Back) CloseIdle(engine decision.EngineID) { b.pool.closeIdle(engine) }
 
@@ -71,7 +78,7 @@
 
 // Reach makes a connection to an engine and keeps it for later use.
 func (b *Back) Reach(ctx context.Context, engine decision.EngineID) error {
-	c, err := b.pool.get(ctx, engine, true)
+	c, err := b.pool.get(ctx, engine, b.pool.of(engine), true)
 	if err == nil {
 		b.pool.put(c)
 	}
@@ -90,7 +97,7 @@
 }
 
 func (b *Back) probe(engine decision.EngineID, until time.Time) (decision.Outcome, *decision.Report) {
-	c, err := b.pool.get(b.ctx, engine, false)
+	c, err := b.pool.get(b.ctx, engine, b.pool.of(engine), false)
 	if err != nil {
 		return decision.NotConnected, nil
 	}
@@ -102,7 +109,7 @@
 	case err != nil:
 		b.pool.drop(c)
 		return decision.Reset, nil
-	case head.Close:
+	case head.Close || c.look() != quiet:
 		b.pool.drop(c)
 	default:
 		b.pool.put(c)
@@ -126,7 +133,7 @@
 // Execute starts an execution; the listener hears its notes and its one end.
 func (b *Back) Execute(order Order) *Execution {
 	ctx, cancel := context.WithDeadline(b.ctx, order.Until)
-	x := &Execution{back: b, Order: order, path: "/x/" + string(order.Statement), sent: time.Now(),
+	x := &Execution{back: b, Order: order, path: "/x/" + string(order.Statement), address: b.pool.of(order.Engine), sent: time.Now(),
 		ctx: ctx, cancel: cancel}
 	b.running.Go(func() {
 		defer cancel()
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -1,6 +1,7 @@
 package back
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"runtime/debug"
@@ -21,15 +22,17 @@
 type Execution struct {
 	back *Back
 	Order
-	path   string
-	sent   time.Time
-	ctx    context.Context // ends when it is revoked or given up
-	cancel context.CancelFunc
-	stage  atomic.Int32 // waiting, then started or revoked
-	asked  atomic.Int64 // Unix nanoseconds when the engine was last asked for it, at the latest
-	ended  sync.Once
-	conn   *conn // the one it holds, if any; the running goroutine's
-	report *decision.Report
+	path    string
+	address string // of the engine, when it was sent
+	sent    time.Time
+	ctx     context.Context // ends when it is revoked or given up
+	cancel  context.CancelFunc
+	stage   atomic.Int32 // waiting, then started or revoked
+	asked   atomic.Int64 // Unix nanoseconds when the engine was last asked for it, at the latest
+	ended   sync.Once
+	conn    *conn // the one it holds, if any; the running goroutine's
+	spoilt  int   // answers that could not be used
+	report  *decision.Report
 }
 
 const (
@@ -83,9 +86,17 @@
 var (
 	errProcessGone = errors.New("the engine's process is gone")
 	errLapsed      = errors.New("the execution was given up, or its time is up")
+	errSpoilt      = errors.New("an answer that cannot be used")
 	errNoPage      = errors.New("a page of the result cannot be had")
 )
 
+// answer is an engine's answer to one call.
+type answer struct {
+	http1.Head
+	body []byte
+	more bool // more has come than belongs to it
+}
+
 // run brings an execution to its outcome. A result is whole or there is none. The end of one that lapses while
 // it is out is not known here: lapsed tells it.
 func (x *Execution) run() (outcome decision.Outcome, result []byte, known bool) {
@@ -97,9 +108,10 @@
 			outcome, result, known = decision.Errored, nil, true
 		}
 	}()
-	c, err := x.back.pool.get(x.ctx, x.Engine, false)
+	c, err := x.back.pool.get(x.ctx, x.Engine, x.address, false)
 	if err != nil {
-		if x.ctx.Err() != nil || !time.Now().Before(x.Until) || errors.Is(err, errNoSlot) || errors.Is(err, errNoEngine) {
+		if x.ctx.Err() != nil || !time.Now().Before(x.Until) || errors.Is(err, errNoSlot) || errors.Is(err, errNoEngine) ||
+			errors.Is(err, syscall.ECONNRESET) {
 			return decision.NeverSent, nil, true // says nothing of the engine
 		}
 		return decision.NotConnected, nil, true // refused, or not up in time: it proves that nothing ran
@@ -110,56 +122,95 @@
 	if left < time.Millisecond || !x.stage.CompareAndSwap(waiting, started) || x.ctx.Err() != nil {
 		return decision.NeverSent, nil, true // the last: lapsed may have looked before it was started
 	}
-	head, body, whole, err := x.ask(message("POST", "/x", c.address, x.Text, fieldID, string(x.Statement),
+	said, whole, err := x.ask(message("POST", "/x", c.address, x.Text, fieldID, string(x.Statement),
 		fieldWorkload, x.Workload, fieldLimit, millis(left), "Content-Length", strconv.Itoa(len(x.Text))))
-	if !whole { // part of it cannot run
-		return decision.NotConnected, nil, true
+	if !whole { // part of it cannot run; one broken connection says nothing of the engine
+		return decision.NeverSent, nil, true
+	}
+	// What was started is never started again here: the engine keeps a good end and its pages, so what broke
+	// or was spoilt on its way is asked for again.
+	if err == nil {
+		err = fits(said, isNews, nil)
 	}
-	// What was started is never started again here: a broken connection is followed by polls on others.
 	for {
-		if err == nil {
-			said := read(head)
-			if said.over && said.outcome == decision.Completed {
-				body, err = x.collect(body, said.pages)
-			}
-			if said.over && err == nil {
-				x.report = said.report
-				return said.outcome, body, true
+		if err != nil && isOver(err) {
+			break
+		}
+		if err != nil {
+			x.back.log.Debug("an answer was of no use", zap.String("statement", string(x.Statement)), zap.Error(err))
+		} else if heard := read(said.Head); heard.over {
+			if heard.outcome == decision.Completed {
+				said.body, err = x.collect(said.body, heard.pages)
 			}
-			if said.note != nil {
-				said.note.Statement, said.note.Execution, said.note.Engine = x.Statement, x.Order.Execution, x.Engine
-				x.back.listener.Noted(*said.note)
+			if err != nil {
+				break
 			}
+			x.report = heard.report
+			return heard.outcome, said.body, true
+		} else if heard.note != nil {
+			heard.note.Statement, heard.note.Execution, heard.note.Engine = x.Statement, x.Order.Execution, x.Engine
+			x.back.listener.Noted(*heard.note)
 		}
-		if err == nil || !isFinal(err) {
-			head, body, err = x.poll("/0")
-		}
-		switch {
-		case errors.Is(err, errLapsed):
-			return 0, nil, false
-		case errors.Is(err, errProcessGone):
-			return decision.Reset, nil, true
-		case err != nil: // garbage, or pages that are not to be had: it may have run, and runs no longer
-			x.callOff()
-			return decision.Errored, nil, true
-		}
+		said, err = x.fetch("/0", isNews)
 	}
+	switch {
+	case errors.Is(err, errLapsed):
+		return 0, nil, false
+	case errors.Is(err, errProcessGone):
+		return decision.Reset, nil, true
+	case errors.Is(err, errNoEngine): // another engine has the address
+		x.callOff()
+		return decision.Reset, nil, true
+	}
+	x.callOff() // nothing of use is to be had: it may have run, and runs no longer
+	return decision.Errored, nil, true
 }
 
-// isFinal tells errors after which nothing is asked again from those of one connection.
-func isFinal(err error) bool {
-	return errors.Is(err, errLapsed) || errors.Is(err, errProcessGone) || errors.Is(err, errNoPage) || errors.Is(err, http1.ErrMalformed)
+// isOver tells errors after which nothing is asked again.
+func isOver(err error) bool {
+	return errors.Is(err, errLapsed) || errors.Is(err, errProcessGone) || errors.Is(err, errNoEngine) || errors.Is(err, errNoPage)
 }
 
 // ask makes one call on the connection that the execution holds, bounded by the poll's time.
-func (x *Execution) ask(call []byte) (http1.Head, []byte, bool, error) {
+func (x *Execution) ask(call []byte) (said answer, whole bool, err error) {
 	now := time.Now()
 	x.asked.Store(now.UnixNano())
-	head, body, whole, err := x.conn.do(now.Add(pollHeld+pollSlack), call)
-	if err != nil || head.Close {
+	said.Head, said.body, whole, err = x.conn.do(now.Add(pollHeld+pollSlack), call)
+	found := ended
+	if err == nil {
+		found = x.conn.look()
+	}
+	said.more = found == noisy
+	if found != quiet || said.Close {
 		x.release(false)
 	}
-	return head, body, whole, err
+	return said, whole, err
+}
+
+// isNews tells whether an answer is one that the protocol has for a start or for /0.
+func isNews(a answer) bool {
+	switch a.Status {
+	case 200:
+		return read(a.Head).outcome == decision.Completed && wholeRows(a.body)
+	case 202, 500, 503, 504:
+		return true
+	}
+	return false
+}
+
+// wholeRows tells whether a page ends with a whole row.
+func wholeRows(page []byte) bool { return len(page) == 0 || page[len(page)-1] == '\n' }
+
+// fits tells why an answer is of no use: it is none that is awaited, or more came than belongs to it. In the
+// latter case its length may be wrong, so its rows count once they have come the same a second time.
+func fits(said answer, awaited func(answer) bool, before *answer) error {
+	switch {
+	case !awaited(said):
+		return errSpoilt
+	case said.more && said.Status == 200 && (before == nil || !bytes.Equal(before.body, said.body)):
+		return errSpoilt
+	}
+	return nil
 }
 
 // release gives the connection back: the one place where an execution does.
@@ -174,16 +225,27 @@
 	x.conn = nil
 }
 
-// poll asks for news or a page until there is an answer: on another connection when one breaks or hangs.
-func (x *Execution) poll(what string) (head http1.Head, body []byte, err error) {
-	for fresh := false; ; fresh = true {
+// fetch asks for news or a page until there is an answer of use: on another connection when one breaks, hangs
+// or brings what cannot be used.
+func (x *Execution) fetch(what string, awaited func(answer) bool) (answer, error) {
+	var before *answer
+	for tries, fresh := 0, false; ; tries++ {
+		if tries > 1 {
+			x.pause()
+		}
 		if x.ctx.Err() != nil {
-			return head, nil, errLapsed
+			return answer{}, errLapsed
+		}
+		if x.conn != nil && x.conn.look() != quiet {
+			x.release(false)
 		}
 		if x.conn == nil {
-			c, err := x.back.pool.get(x.ctx, x.Engine, fresh)
+			c, err := x.back.pool.get(x.ctx, x.Engine, x.address, fresh)
 			if errors.Is(err, syscall.ECONNREFUSED) { // nobody listens: what ran there is gone
-				return head, nil, errProcessGone
+				return answer{}, errProcessGone
+			}
+			if errors.Is(err, errNoEngine) {
+				return answer{}, err
 			}
 			if err != nil {
 				x.pause()
@@ -191,12 +253,24 @@
 			}
 			x.conn = c
 		}
-		head, body, _, err = x.ask(message("GET", x.path+what, x.conn.address, nil))
-		if err == nil || errors.Is(err, http1.ErrMalformed) {
-			return head, body, err
+		said, _, err := x.ask(message("GET", x.path+what, x.conn.address, nil))
+		if err == nil {
+			if err = fits(said, awaited, before); err == nil {
+				return said, nil
+			}
+			x.release(false)
+			if awaited(said) {
+				before = &said
+			}
 		}
+		x.back.log.Debug("asked for again", zap.String("statement", string(x.Statement)), zap.String("what", what), zap.Error(err),
+			zap.Int("status", said.Status), zap.Bool("more", said.more), zap.Int("bytes", len(said.body)))
+		fresh = !errors.Is(err, errSpoilt) && !errors.Is(err, http1.ErrMalformed)
 		if fresh {
-			x.pause()
+			continue
+		}
+		if x.spoilt++; x.spoilt > mostSpoilt {
+			return answer{}, errNoPage
 		}
 	}
 }
@@ -210,23 +284,23 @@
 
 // collect fetches all further pages and puts the rows together, unchanged and in order.
 func (x *Execution) collect(result []byte, pages int) ([]byte, error) {
-	for page := 0; ; page++ {
-		if n := len(result); n > mostResult || n > 0 && result[n-1] != '\n' {
-			return nil, errNoPage
-		}
-		if page+1 == pages {
-			return result, nil
-		}
-		number := strconv.Itoa(page + 1)
-		head, body, err := x.poll("/" + number)
+	for page := 1; page < pages && len(result) <= mostResult; page++ {
+		number := strconv.Itoa(page)
+		said, err := x.fetch("/"+number, func(a answer) bool {
+			return a.Status == 200 && a.Get(fieldPage) == number && wholeRows(a.body) || a.Status == 500
+		})
 		if err != nil {
 			return nil, err
 		}
-		if head.Status != 200 || head.Get(fieldPage) != number {
-			return nil, errNoPage
+		if said.Status != 200 {
+			return nil, errNoPage // the engine knows it no longer
 		}
-		result = append(result, body...)
+		result = append(result, said.body...)
+	}
+	if len(result) > mostResult {
+		return nil, errNoPage
 	}
+	return result, nil
 }
 
 // callOff makes sure that the execution is out no longer: the engine has heard so, its process is gone, or
@@ -236,13 +310,13 @@
 	ctx, cancel := context.WithDeadline(x.back.ctx, asked.Add(pollHeld+forgets+forgetOff))
 	defer cancel()
 	for ctx.Err() == nil {
-		c, err := x.back.pool.get(ctx, x.Engine, false)
+		c, err := x.back.pool.get(ctx, x.Engine, x.address, false)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			return
 		}
 		if err == nil {
 			head, _, _, err := c.do(time.Now().Add(pollHeld+pollSlack), message("DELETE", x.path, c.address, nil))
-			if err != nil || head.Close {
+			if err != nil || head.Close || c.look() != quiet {
 				x.back.pool.drop(c)
 			} else {
 				x.back.pool.put(c)
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +15,8 @@
 	"bankledge/internal/http1"
 )
 
+const restTime = 10 * time.Millisecond // for a connection before another call takes it
+
 // conn is one connection to an engine, used by one call at a time.
 type conn struct {
 	raw     net.Conn
@@ -33,24 +36,44 @@
 	return head, body, true, err
 }
 
-// alive looks, without waiting, whether the engine has closed the connection or written out of turn.
-func (c *conn) alive() bool {
+// state is what lies on a connection between two calls.
+type state int
+
+const (
+	quiet state = iota // nothing: it may be used
+	ended              // the engine has closed it, or it broke
+	noisy              // more than was asked for has come: what follows cannot be told apart
+)
+
+// look finds out the state without waiting.
+func (c *conn) look() state {
+	if c.reader.Buffered() {
+		return noisy
+	}
 	sys, ok := c.raw.(syscall.Conn)
-	if !ok || c.reader.Buffered() {
-		return false
+	if !ok {
+		return ended
 	}
 	raw, err := sys.SyscallConn()
 	if err != nil {
-		return false
+		return ended
 	}
-	fine := false
+	found := ended
 	err = raw.Read(func(fd uintptr) bool {
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		fine = errors.Is(err, syscall.EAGAIN)
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case n > 0:
+			found = noisy
+		case errors.Is(err, syscall.EAGAIN):
+			found = quiet
+		}
 		return true
 	})
-	return err == nil && fine
+	if err != nil {
+		return ended
+	}
+	return found
 }
 
 // pool owns all connections to engines, by engine id, and the descriptors that they may use.
@@ -60,7 +83,8 @@
 	connectIn time.Duration
 
 	mu      sync.Mutex
-	address map[decision.EngineID]string
+	address map[decision.EngineID]string  // of the engines that are listed
+	owner   map[string]decision.EngineID  // the same the other way round
 	idle    map[decision.EngineID][]*conn // the latest used last
 	waiting int                           // for a slot
 	dials   Dials
@@ -69,8 +93,8 @@
 
 // Dials counts connections made since the last look, and why others were dropped.
 type Dials struct {
-	Made, NotUp, Stale, Crowded int
-	Longest                     time.Duration // that one took to come up
+	Made, NotUp, Stale, Crowded, Noisy int
+	Longest                            time.Duration // that one took to come up
 }
 
 // counted looks at the counts and begins anew.
@@ -95,22 +119,70 @@
 
 func newPool(most int, idleMost, connectIn time.Duration) *pool {
 	return &pool{slots: make(chan struct{}, most), idleMost: idleMost, connectIn: connectIn,
-		address: map[decision.EngineID]string{}, idle: map[decision.EngineID][]*conn{}}
+		address: map[decision.EngineID]string{}, owner: map[string]decision.EngineID{}, idle: map[decision.EngineID][]*conn{}}
 }
 
-// know sets an engine's address; connections to an earlier one are not used again.
+// know sets an engine's address. Connections to an earlier one, or to an earlier engine there, are not used again.
 func (p *pool) know(engine decision.EngineID, address string) {
 	p.mu.Lock()
-	old := p.address[engine]
-	p.address[engine] = address
+	if p.address[engine] == address {
+		p.mu.Unlock()
+		return
+	}
+	before, other := p.address[engine], p.owner[address]
+	delete(p.address, other)
+	if p.owner[before] == engine {
+		delete(p.owner, before)
+	}
+	p.address[engine], p.owner[address] = address, engine
 	p.mu.Unlock()
-	if old != "" && old != address {
-		p.closeIdle(engine)
+	p.closeIdle(engine)
+	p.closeIdle(other)
+}
+
+// forget drops all that is kept of an engine that is gone. What is out there goes on at the address that it
+// has, until another engine takes that.
+func (p *pool) forget(engine decision.EngineID) {
+	p.mu.Lock()
+	address := p.address[engine]
+	delete(p.address, engine)
+	if p.owner[address] == engine {
+		delete(p.owner, address)
 	}
+	p.mu.Unlock()
+	p.closeIdle(engine)
+}
+
+// keep forgets all engines but these.
+func (p *pool) keep(listed map[decision.EngineID]bool) {
+	p.mu.Lock()
+	var gone []decision.EngineID
+	for engine := range p.address {
+		if !listed[engine] {
+			gone = append(gone, engine)
+		}
+	}
+	p.mu.Unlock()
+	for _, engine := range gone {
+		p.forget(engine)
+	}
+}
+
+// of is the address of a listed engine, or "".
+func (p *pool) of(engine decision.EngineID) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.address[engine]
 }
 
 // get takes a connection from the pool, or makes one, in a time that is bounded by the connect timeout.
-func (p *pool) get(ctx context.Context, engine decision.EngineID, fresh bool) (*conn, error) {
+func (p *pool) get(ctx context.Context, engine decision.EngineID, address string, fresh bool) (*conn, error) {
+	p.mu.Lock()
+	owner := p.owner[address]
+	p.mu.Unlock()
+	if address == "" || owner != "" && owner != engine { // the address is another's by now
+		return nil, errNoEngine
+	}
 	ctx, cancel := context.WithTimeout(ctx, p.connectIn)
 	defer cancel()
 	for !fresh {
@@ -118,22 +190,20 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.idle) < p.idleMost && c.alive() {
+		state := c.look()
+		if state == quiet && c.address == address && time.Since(c.idle) < p.idleMost {
 			return c, nil
 		}
-		p.count(func(d *Dials) { d.Stale++ })
+		p.count(func(d *Dials) {
+			if d.Stale++; state == noisy {
+				d.Noisy++
+			}
+		})
 		p.drop(c)
 	}
 	if err := p.slot(ctx); err != nil {
 		return nil, err
 	}
-	p.mu.Lock()
-	address := p.address[engine]
-	p.mu.Unlock()
-	if address == "" {
-		<-p.slots
-		return nil, errNoEngine
-	}
 	began := time.Now()
 	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	p.count(func(d *Dials) {
@@ -185,7 +255,7 @@
 		}
 	}
 	if oldest != nil {
-		p.idle[of] = p.idle[of][1:]
+		p.idle[of] = slices.Delete(p.idle[of], 0, 1)
 	}
 	return oldest
 }
@@ -194,12 +264,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[engine]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- { // the latest used that has rested: what came late shows by then
+		if c := list[i]; time.Since(c.idle) >= restTime {
+			p.idle[engine] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[engine] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // put gives a connection back after an answer that left it usable.
@@ -261,8 +332,8 @@
 		for n < len(list) && time.Since(list[n].idle) >= than {
 			n++
 		}
-		old = append(old, list[:n]...)
-		if p.idle[engine] = list[n:]; n == len(list) {
+		old = append(old, list[:n]...) // copied: what is left moves up
+		if p.idle[engine] = slices.Delete(list, 0, n); n == len(list) {
 			delete(p.idle, engine)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,12 +161,21 @@
 	if c.Complete {
 		ev.Kind = whole
 	}
+	listed := map[decision.EngineID]bool{}
 	for _, m := range c.Members {
-		if m.State != decision.Gone {
-			g.back.Know(m.Engine, m.Address)
+		if listed[m.Engine] = m.State != decision.Gone; !listed[m.Engine] {
+			g.back.Forget(m.Engine)
 		}
 		ev.Entries = append(ev.Entries, m.Entry)
 	}
+	if c.Complete {
+		g.back.Keep(listed)
+	}
+	for _, m := range c.Members { // after those that are gone, since it may have the address of one
+		if listed[m.Engine] {
+			g.back.Know(m.Engine, m.Address)
+		}
+	}
 	g.route.post(input{event: ev})
 }
 
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -17,6 +17,7 @@
 	mostHead  = 16 << 10 // bytes of a status line with its headers
 	mostLine  = 256      // bytes of a chunk's size line or of a trailer
 	mostLines = 64       // trailers
+	mostEarly = 16       // interim answers before one
 	readAhead = 64 << 10
 )
 
@@ -45,12 +46,21 @@
 // Buffered tells whether bytes were read that no call has taken.
 func (r *Reader) Buffered() bool { return len(r.buf.Next()) > 0 }
 
-// Answer reads a whole answer, with a body of at most so many bytes.
+// Answer reads a whole answer, with a body of at most so many bytes. What claims to hold more is not read, and a
+// body that only the end of the connection ends is none: nothing tells whether it came whole.
 func (r *Reader) Answer(most int) (Head, []byte, error) {
 	head, err := r.Head()
 	if err != nil {
 		return head, nil, err
 	}
+	switch body := r.Body(head).(type) {
+	case untilEnd:
+		return head, nil, fmt.Errorf("%w: a body without an end", ErrMalformed)
+	case *sized:
+		if body.left > int64(most) {
+			return head, nil, fmt.Errorf("%w: body over %d bytes", ErrMalformed, most)
+		}
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body(head), int64(most)+1))
 	if err == nil && len(body) > most {
 		err = fmt.Errorf("%w: body over %d bytes", ErrMalformed, most)
@@ -60,7 +70,7 @@
 
 // Head reads a status line and headers; interim answers are passed over.
 func (r *Reader) Head() (Head, error) {
-	for {
+	for early := 0; ; {
 		raw := r.buf.Next()
 		if i := bytes.Index(raw, []byte("\r\n\r\n")); i >= 0 && i <= mostHead {
 			head, err := ParseHead(raw[:i])
@@ -68,6 +78,9 @@
 			if err != nil || head.Status >= 200 {
 				return head, err
 			}
+			if early++; early > mostEarly {
+				return Head{}, fmt.Errorf("%w: over %d interim answers", ErrMalformed, mostEarly)
+			}
 			continue
 		}
 		if len(raw) > mostHead {
@@ -112,7 +125,7 @@
 	n, err := strconv.ParseUint(length, 10, 62)
 	switch {
 	case h.Status == 204 || h.Status == 304:
-		return io.LimitReader(nil, 0)
+		return &sized{r, 0}
 	case h.Get("Transfer-Encoding") != "":
 		if !strings.EqualFold(h.Get("Transfer-Encoding"), "chunked") {
 			return broken{fmt.Errorf("%w: transfer coding", ErrMalformed)}
