Claims beyond reason teach the module nothing; what it keeps per engine, key and group is given back

An estimate now teaches at most what can end in the client's time; errors teach no pace. Estimates must be above 0 and within reason. Engines off the list with nothing out, lines of keys, tallies and rankings of table groups and notes of loads are given back. An engine that answers 'not yet over' at once is asked with a pause.

--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -150,6 +150,8 @@
 		} else if heard.note != nil {
 			heard.note.Statement, heard.note.Execution, heard.note.Engine = x.Statement, x.Order.Execution, x.Engine
 			x.back.listener.Noted(*heard.note)
+		} else if time.Since(time.Unix(0, x.asked.Load())) < pollHeld/4 {
+			x.pause() // an engine that does not hold its answer while there is no news
 		}
 		said, err = x.fetch("/0", isNews)
 	}
--- a/internal/back/execution_test.go
+++ b/internal/back/execution_test.go
@@ -76,3 +76,50 @@
 		assert.NotEqual(t, decision.NeverSent, seen[decision.StatementID(<-started)])
 	}
 }
+
+// A new engine at a gone one's address inherits neither its connections nor its executions, and nothing is kept of
+// engines that are gone.
+func TestEnginesComeAndGo(t *testing.T) {
+	calls := make(chan string, 100)
+	at := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case calls <- r.Method:
+		default:
+		}
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(map[string]int{"POST": 202, "GET": 202, "DELETE": 204}[r.Method])
+	}))
+	defer at.Close()
+	heard := make(ends, 10)
+	ctx, cancel := context.WithCancel(t.Context())
+	b := New(ctx, heard, 20, time.Minute, time.Second, zap.NewNop())
+	address := at.Listener.Addr().String()
+	b.Know("old", address)
+	require.NoError(t, b.Reach(ctx, "old"))
+	require.Len(t, b.pool.idle["old"], 1)
+	b.Execute(Order{Statement: "1", Engine: "old", Until: time.Now().Add(time.Minute)})
+	require.Equal(t, "POST", <-calls)
+	b.Know("new", address) // before it was said that the old one is gone
+	assert.Empty(t, b.pool.idle["old"])
+	ended := <-heard // what was out there is not asked of the new one
+	assert.Equal(t, decision.Reset, ended.Outcome)
+	_, err := b.pool.get(ctx, "old", address, false)
+	require.ErrorIs(t, err, errNoEngine)
+	b.Forget("old")
+	assert.Equal(t, address, b.pool.of("new"), "it is the new one's")
+	for i := range 1000 {
+		id := decision.EngineID(strconv.Itoa(i))
+		b.Know(id, "127.0.0.1:"+strconv.Itoa(1000+i))
+		if i%2 == 0 {
+			b.Forget(id)
+		}
+	}
+	b.Keep(map[decision.EngineID]bool{"new": true})
+	assert.Len(t, b.pool.address, 1)
+	assert.Len(t, b.pool.owner, 1)
+	cancel()
+	require.NoError(t, b.Tend(ctx))
+	assert.Empty(t, b.pool.idle)
+	assert.Less(t, len(calls), 50, "an engine that has no news at once is not asked without a pause")
+	assert.Zero(t, b.Descriptors())
+}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -28,10 +27,10 @@
 )
 
 const (
-	idDigits  = 16
-	mostTime  = 24 * time.Hour // that a client may wait
-	mostGuess = 1e9            // of an estimate, in milliseconds or MB
-	noMemory  = "no memory left for the statement"
+	idDigits = 16
+	mostTime = 24 * time.Hour // that a client may wait
+	mostWork = 24 * 3600e3    // of an estimate, in milliseconds
+	noMemory = "no memory left for the statement"
 )
 
 // admit makes the record of a statement, or tells why there is none.
@@ -53,13 +52,13 @@
 	if len(g.groups) > 0 && !g.groups[group] {
 		return nil, arrived, "field t: unknown member group"
 	}
-	work, workOK := guess(f[fieldWork])
-	mem, memOK := guess(f[fieldMemory])
+	work, workOK := guess(f, fieldWork, mostWork)
+	mem, memOK := guess(f, fieldMemory, g.mostMemory)
 	switch {
 	case !workOK:
-		return nil, arrived, "field h: not a number"
+		return nil, arrived, "field h: not a time in milliseconds"
 	case !memOK:
-		return nil, arrived, "field heap_mb: not a number"
+		return nil, arrived, "field heap_mb: not an amount that an engine has"
 	case f[fieldResent] != "" && f[fieldResent] != "1":
 		return nil, arrived, "field r: neither absent nor 1"
 	}
@@ -79,11 +78,12 @@
 		taken: taken, ends: taken.Add(budget)}, arrived, ""
 }
 
-// guess reads an estimate; absent: 0.
-func guess(text string) (float64, bool) {
-	if text == "" {
+// guess reads an estimate, which must be above 0 and within reason; absent: 0.
+func guess(f front.Fields, name string, most float64) (float64, bool) {
+	text, stands := f[name]
+	if !stands {
 		return 0, true
 	}
 	v, err := strconv.ParseFloat(text, 64)
-	return v, err == nil && v >= 0 && v <= mostGuess && !math.IsNaN(v)
+	return v, err == nil && v > 0 && v <= most
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,9 +3,11 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
 	"runtime"
@@ -33,6 +35,7 @@
 	heapGrowth   = 400                   // percent, as long as the heap is far below that
 	textShare    = 6                     // statements' texts hold one part in so many of the memory
 	frameShare   = 12                    // and large frames that have not come whole one in so many
+	overGuess    = 4                     // times the memory of the largest machine that an estimate may be
 	idsPerMB     = 64                    // of answered statements, remembered for each MB of memory
 	wakeTime     = 25 * time.Millisecond // that a call to the module may be late on a core that others use, too
 	clockBefore  = time.Hour             // the module's clock starts so long before the router
@@ -58,10 +61,12 @@
 
 	workloads map[string]decision.WorkloadID
 	groups    map[decision.MemberGroup]bool
-	reached   atomic.Bool  // engines were seen to be in reach
-	stopping  atomic.Bool  // SIGTERM has come
-	texts     atomic.Int64 // bytes of statements' texts held
-	figures   figures
+
+	mostMemory float64      // of any kind of machine, in MB
+	reached    atomic.Bool  // engines were seen to be in reach
+	stopping   atomic.Bool  // SIGTERM has come
+	texts      atomic.Int64 // bytes of statements' texts held
+	figures    figures
 }
 
 // New prepares a router; nothing runs yet.
@@ -72,6 +77,10 @@
 	o.Limits.MaxOut = int(outShare * float64(engines))
 	g := &Gateway{cfg: cfg, log: log, engines: engines, serving: make(chan net.Addr, 1), origin: time.Now().Add(-clockBefore),
 		workloads: map[string]decision.WorkloadID{}, groups: map[decision.MemberGroup]bool{}}
+	for _, machine := range o.Engines.Machines {
+		g.mostMemory = max(g.mostMemory, machine.MemoryMB)
+	}
+	g.mostMemory = cmp.Or(overGuess*g.mostMemory, math.MaxFloat64)
 	for i, w := range o.Workloads {
 		g.workloads[w.Name] = decision.WorkloadID(i)
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -34,6 +35,7 @@
 // Traffic counts statements by table group; every count decays at each statement of any group.
 type Traffic struct {
 	Decay  float64
+	Most   int // table groups, about; 0: any number
 	total  float64
 	seq    int
 	groups map[decision.TableGroup]tally
@@ -51,9 +53,15 @@
 	}
 	t.seq++
 	t.total = t.total*t.Decay + 1
-	t.groups[g] = tally{t.Of(g) + 1, t.seq}
+	if t.groups[g] = (tally{t.Of(g) + 1, t.seq}); t.Most > 0 && len(t.groups) > t.Most {
+		mean := t.total / float64(len(t.groups)) // what is below it says least
+		maps.DeleteFunc(t.groups, func(o decision.TableGroup, _ tally) bool { return o != g && t.Of(o) <= mean })
+	}
 }
 
+// Groups is the number of table groups that are counted.
+func (t *Traffic) Groups() int { return len(t.groups) }
+
 // Total is the decayed count of all statements.
 func (t *Traffic) Total() float64 { return t.total }
 
@@ -83,6 +91,7 @@
 // Fleet holds all engines ever listed, by id, and their order by rendezvous hash.
 type Fleet struct {
 	All      []*Engine
+	Most     int // table groups whose order is kept; 0: any number
 	byID     map[decision.EngineID]*Engine
 	rankings map[decision.TableGroup][]*Engine
 }
@@ -102,6 +111,28 @@
 	return e
 }
 
+// Forget drops engines that have been off the list for a while and hold nothing.
+func (f *Fleet) Forget(now, after time.Duration) {
+	before := len(f.All)
+	f.All = slices.DeleteFunc(f.All, func(e *Engine) bool {
+		if e.Listed || len(e.Execs) > 0 {
+			e.Unlisted = now
+			return false
+		}
+		if now < e.Unlisted+after {
+			return false
+		}
+		delete(f.byID, e.Engine)
+		return true
+	})
+	if len(f.All) < before {
+		f.rankings = map[decision.TableGroup][]*Engine{}
+	}
+}
+
+// Rankings is the number of table groups whose order is kept.
+func (f *Fleet) Rankings() int { return len(f.rankings) }
+
 // MeanWindow is the mean window of the other ready engines of an engine's kind, or otherwise if there is none.
 func (f *Fleet) MeanWindow(e *Engine, workload int, otherwise float64) float64 {
 	sum, n := 0.0, 0.0
@@ -142,6 +173,9 @@
 		ranked = slices.SortedFunc(slices.Values(f.All), func(a, b *Engine) int {
 			return cmp.Compare(rank[b], rank[a])
 		})
+		if f.Most > 0 && len(f.rankings) >= f.Most {
+			clear(f.rankings)
+		}
 		f.rankings[tables] = ranked
 	}
 	return ranked
@@ -160,6 +194,7 @@
 type Engine struct {
 	decision.Entry
 	Listed             bool
+	Unlisted           time.Duration // since when it is not listed and holds nothing
 	Cores, MemoryMB    float64
 	Windows            []Window // by workload
 	Execs              []*Execution
@@ -210,6 +245,12 @@
 	}
 }
 
+// Loaded notes until when a load of another router holds a table group, and drops what is past.
+func (e *Engine) Loaded(tables decision.TableGroup, now, until time.Duration) {
+	maps.DeleteFunc(e.LoadedUntil, func(_ decision.TableGroup, t time.Duration) bool { return t <= now })
+	e.LoadedUntil[tables] = until
+}
+
 // IsWarm tells whether the table group is among those sent there lately.
 func (e *Engine) IsWarm(tables decision.TableGroup) bool { return slices.Contains(e.Warm, tables) }
 
@@ -307,10 +348,18 @@
 }
 
 // Leave takes a statement that is over out of its line; its open executions still bar it.
-func (k KeyLines) Leave(s *Statement) {
+func (k KeyLines) Leave(s *Statement, now time.Duration) {
 	if l := k[s.Key]; l != nil {
 		l.Line = slices.DeleteFunc(l.Line, func(o *Statement) bool { return o == s })
 		l.Open += s.Open
+		k.Forget(s.Key, now)
+	}
+}
+
+// Forget drops a key's line when nothing is left of it and its rest is over.
+func (k KeyLines) Forget(key decision.Key, now time.Duration) {
+	if l := k[key]; l != nil && len(l.Line) == 0 && l.Open == 0 && now >= l.RestUntil {
+		delete(k, key)
 	}
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,17 +28,15 @@
 
 // The design's figures (marked 'ours' there) and this module's own. All else derives from settings.
 const (
-	nearWeight, farWeight = 8.0, 11.0 // zone weight
-	warmCost, coldCost    = 1.0, 2.0  // warmth cost
-	warmGroups            = 4         // table groups sent last that count as warm on an engine
-	fanOutSlack           = 4.0       // candidates over a table group's even part of the engines
-	fanOutDoubt           = 0.3       // statements an engine that count against a table group with few of them
-	fanOutDecay           = 0.999     // of the table groups' counts, at each statement
-	fanOutMost            = 32
-	windowThreads         = 2.0         // ceiling of a window, in threads a core
-	busyUtil              = 0.65        // above it a candidate counts as congested
-	overUtil              = 0.90        // above it a window is halved
-	reportPeriod          = time.Second // between steps of a window; a report is fresh so long
+	nearWeight, farWeight          = 8.0, 11.0   // zone weight
+	warmCost, coldCost, warmGroups = 1.0, 2.0, 4 // warmth cost; table groups sent last that count as warm on an engine
+	fanOutSlack                    = 4.0         // candidates over a table group's even part of the engines
+	fanOutDoubt                    = 0.3         // statements an engine that count against a table group with few of them
+	fanOutDecay                    = 0.999       // of the table groups' counts, at each statement
+	fanOutMost, tallyMost          = 32, 4096    // candidates; table groups remembered, whatever statements name
+	windowThreads                  = 2.0         // ceiling of a window, in threads a core
+	busyUtil, overUtil             = 0.65, 0.90  // above them a candidate counts as congested, a window is halved
+	reportPeriod                   = time.Second // between steps of a window; a report is fresh so long
 
 	sweepEvery, learnRate = 50 * time.Millisecond, 0.05
 	coldSafety            = 0.6                    // of a cold engine's budget, for slow machines and chance
@@ -47,8 +45,7 @@
 
 	backoffFirst, backoffMost = 500 * time.Millisecond, 8 * time.Second // before a left engine is tried again
 
-	silentSLOs              = 0.6             // SLO times without news, where there are no notes
-	silentPaces             = 10.0            // times the usual run, which must have passed too
+	silentSLOs, silentPaces = 0.6, 10.0       // SLO times, usual runs without news, where there are no notes
 	badPlan                 = 4.0             // times the expected run that make an execution worth giving up
 	roomThreads             = 3.2             // threads a core that all routers together keep on an engine
 	mixDecay                = 0.995           // a sweep
@@ -117,8 +114,8 @@
 	m := &Module{me: me, traits: traits, limits: limits, rules: rules, overShare: shares.OverImportance,
 		routers: float64(max(1, me.Routers)), byProbe: reports.Path == decision.ReportsByProbe && limits.MayProbe,
 		stmts: map[decision.StatementID]*statement{}, shares: map[decision.MemberGroup]*state.Share{},
-		keys: state.KeyLines{}, traffic: state.Traffic{Decay: fanOutDecay}, opened: -1,
-		chance: draw.Source{Seed: me.Seed}}
+		keys: state.KeyLines{}, opened: -1, chance: draw.Source{Seed: me.Seed},
+		traffic: state.Traffic{Decay: fanOutDecay, Most: tallyMost}, fleet: state.Fleet{Most: tallyMost}}
 	for i, w := range workloads {
 		w.Threads = max(1, w.Threads)
 		m.workloads = append(m.workloads, &workload{Workload: w, ID: decision.WorkloadID(i), Grant: grantFirst,
@@ -195,10 +192,12 @@
 		End: m.now + ev.TimeBudget, OverShare: sh != nil && sh.PerSec > 0 && !sh.Take(m.now)}
 	work := w.Work
 	if ev.Estimate > 0 {
-		if work = ev.Estimate.Seconds(); !w.Known {
-			w.Work, w.Known = work, true
+		work = ev.Estimate.Seconds()
+		teaches := min(work, ev.TimeBudget.Seconds()*float64(w.Threads)) // a client may claim anything
+		if !w.Known {
+			w.Work, w.Known = teaches, true
 		}
-		w.Work += learnRate * (work - w.Work)
+		w.Work += learnRate * (teaches - w.Work)
 	}
 	s.Run = seconds(work / float64(w.Threads))
 	s.SLODue = m.now + w.Allowance(s.Run)
@@ -410,11 +409,10 @@
 	case !e.Listed, e.State != decision.Ready: // drains, stricter than their grace
 	case len(w.Zones) > 0 && !slices.Contains(w.Zones, e.Zone):
 	case len(w.Kinds) > 0 && !slices.Contains(w.Kinds, e.Kind):
-	case !m.mayRepeat(s):
 	case w.Effect == decision.Deduplicated && s.Home != nil && w.DedupScope != decision.ScopeAll &&
 		!(w.DedupScope == decision.ScopeZone && s.Home.Engine.Zone == e.Zone) &&
 		!(w.DedupScope == decision.ScopeCell && s.Home.Engine.Cell == e.Cell):
-	case !m.inTurn(s), !m.furtherLeft(s), !m.coldLeft(s, e):
+	case !m.mayRepeat(s), !m.inTurn(s), !m.furtherLeft(s), !m.coldLeft(s, e):
 	default:
 		return true
 	}
@@ -493,7 +491,7 @@
 }
 
 func (m *Module) finish(s *statement) {
-	m.keys.Leave(s)
+	m.keys.Leave(s, m.now)
 	s.Done = true
 	delete(m.stmts, s.ID)
 	for _, x := range s.Execs {
@@ -511,6 +509,7 @@
 // sweep is the periodic work: silent engines, lost ones, windows without reports, the router's part.
 func (m *Module) sweep() {
 	m.cores, m.mem, m.out, m.outMem = 0, 0, m.out*mixDecay, m.outMem*mixDecay
+	m.fleet.Forget(m.now, m.rules.WarmAfter+coldMargin) // ids may be new for ever
 	for _, e := range m.fleet.All {
 		if !e.Listed || e.State != decision.Ready {
 			continue
@@ -630,7 +629,7 @@
 		x.Spilled = true
 	case decision.NoteWaits: // another router's load holds its tables there: others keep off for a while
 		if ev.Value == decision.WaitsForLoad {
-			x.Engine.LoadedUntil[s.Tables] = m.now + loadKnown*m.traits.ProgressEvery
+			x.Engine.Loaded(s.Tables, m.now, m.now+loadKnown*m.traits.ProgressEvery)
 			m.rescue(x)
 		}
 	case decision.NoteProgress: // at this pace many times the expected run: a bad plan
@@ -670,10 +669,12 @@
 			rest += m.rules.KeyRest
 		}
 		m.keys.Settle(s, rest)
-		m.due.At(rest, func() { m.stirred = true })
+		m.due.At(rest, func() { m.stirred = true; m.keys.Forget(s.Key, rest) })
 	}
 	switch ev.Outcome {
-	case decision.Completed, decision.Errored:
+	case decision.Errored: // it answers; how fast it fails tells nothing of its pace
+		m.back(e)
+	case decision.Completed:
 		m.back(e)
 		w.Done++
 		if m.now-x.Sent > s.Workload.Allowance(s.Run)/2 {
@@ -682,7 +683,7 @@
 		e.Pace += engineLearn * (float64(m.now-x.Sent)/max(1, s.Workload.Pace*float64(s.Run)) - e.Pace)
 		pace := &s.Workload.Pace // tracks the median
 		*pace *= 1 + math.Copysign(paceStep, float64(m.now-x.Sent)-*pace*float64(s.Run))
-		if ev.Outcome == decision.Completed && !x.Spilled {
+		if !x.Spilled {
 			s.Workload.Grant = max(1, s.Workload.Grant*(1-grantDown))
 		}
 	case decision.Full:
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -625,3 +626,45 @@
 	assert.Equal(t, []decision.StatementID{"1", "2", "4"}, rejected)
 	assert.Equal(t, []decision.Abort{{Statement: "3"}}, pick[decision.Abort](b), "it may have run")
 }
+
+// Ids, keys and table groups may be new for ever: what is kept of them levels off.
+func TestNothingGrows(t *testing.T) {
+	b := newBed(t)
+	b.wlms[0].InOrder = true
+	b.traits.ProgressEvery = 100 * ms
+	for i := range 2 * tallyMost {
+		now, id := time.Duration(i)*100*ms, strconv.Itoa(i)
+		e, s := decision.EngineID("e"+id), decision.StatementID("s"+id)
+		arrival := read(s)
+		arrival.Key, arrival.Tables = decision.Key(id), decision.TableGroup(i)
+		b.at(now, ready(e), arrival)
+		require.Equal(t, e, b.sentTo(), "those that are gone get nothing")
+		b.at(now+1, note(s, e, decision.NoteWaits, decision.WaitsForLoad), end(s, 0, e, decision.Cancelled))
+		b.at(now+2, decision.ClientLeft{Statement: s})
+	}
+	require.Less(t, len(b.m.fleet.All), 200)
+	require.Empty(t, b.m.keys)
+	require.Empty(t, b.m.stmts)
+	require.LessOrEqual(t, b.m.traffic.Groups(), tallyMost)
+	one := newBed(t).at(0, ready("a"))
+	for i := range 2 * tallyMost { // one engine all the while
+		one.m.fleet.Ranked(decision.TableGroup(i))
+		one.m.fleet.Of("a").Loaded(decision.TableGroup(i), time.Duration(i)*ms, time.Duration(i+10)*ms)
+	}
+	require.LessOrEqual(t, one.m.fleet.Rankings(), tallyMost)
+	require.Less(t, len(one.m.fleet.Of("a").LoadedUntil), 20)
+}
+
+// What clients claim beyond reason, and how fast executions fail, teaches little: good statements go on as before.
+func TestClaimsAndErrorsTeachLittle(t *testing.T) {
+	b := newBed(t).at(0, ready("a"), read("1"))
+	b.at(1, end("1", 0, "a", decision.Completed))
+	before, pace := b.m.workloads[0].Work, b.m.workloads[0].Pace
+	claim := read("2")
+	claim.Estimate = 24 * time.Hour
+	b.at(2, claim)
+	require.Len(t, pick[decision.Reject](b), 1, "it cannot end in time")
+	require.Less(t, b.m.workloads[0].Work, 4*before)
+	b.at(3, read("3")).at(4, end("3", 0, "a", decision.Errored))
+	require.Equal(t, pace, b.m.workloads[0].Pace)
+}
