--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -27,7 +27,7 @@
 	connectIn  = 500 * time.Millisecond
 	pauseFirst = 50 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
-	mostEvent  = 4 << 20 // bytes of one event
+	mostEvent  = 1 << 20 // bytes of one event, of thousands of engines
 	mostErrors = 3       // an event that cannot be read is asked for so often, then passed over
 )
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -1,7 +1,11 @@
 package feed
 
 import (
+	"bufio"
+	"context"
+	"encoding/json"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -101,3 +105,67 @@
 		}
 	})
 }
+
+// A feed that moves goes on at once from the number last taken, from a place that is lost or silent as well; events
+// known from elsewhere are taken as far as they follow on. Of several moves the last counts.
+func TestMove(t *testing.T) {
+	lost, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	lost.Close() // nobody listens there
+	heard := make(chan string, 10)
+	place := func(name string) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() { // says nothing ever
+					defer c.Close()
+					lines := bufio.NewScanner(c)
+					for lines.Scan() {
+						if id, ok := strings.CutPrefix(lines.Text(), "Last-Event-ID: "); ok {
+							heard <- name + " " + id
+						}
+					}
+				}()
+			}
+		}()
+		return l.Addr().String()
+	}
+	whole := func(n string) json.RawMessage { return json.RawMessage(`{"n":` + n + `,"members":{"complete":true}}`) }
+	part := func(n string) json.RawMessage { return json.RawMessage(`{"n":` + n + `,"members":{}}`) }
+	for _, c := range []struct {
+		name  string
+		from  string
+		known []json.RawMessage
+		last  string
+	}{
+		{"from one that is lost", lost.Addr().String(), nil, "3"},
+		{"from one that is silent", place("silent"), nil, "3"},
+		{"with events already taken", lost.Addr().String(), []json.RawMessage{whole("1"), part("2"), part("3")}, "3"},
+		{"with events that follow on", lost.Addr().String(), []json.RawMessage{whole("1"), part("3"), part("4"), part("5")}, "5"},
+		{"with a gap", lost.Addr().String(), []json.RawMessage{part("5")}, "3"},
+		{"with a gap before a whole list", lost.Addr().String(), []json.RawMessage{whole("7"), part("8"), json.RawMessage("{"), part("9")}, "8"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			feed := &Feed{Address: c.from, Last: 3, Log: zap.NewNop(), Take: func(Change) {}}
+			ended := make(chan error, 1)
+			go func() { ended <- feed.Follow(ctx) }()
+			if strings.HasSuffix(c.name, "silent") {
+				require.Equal(t, "silent 3", <-heard)
+			}
+			for range 5 {
+				feed.Move(lost.Addr().String(), nil)
+			}
+			feed.Move(place("now"), c.known)
+			require.Equal(t, "now "+c.last, <-heard)
+			cancel()
+			require.NoError(t, <-ended)
+		})
+	}
+}
