--- a/cmd/bankledge/main_test.go
+++ b/cmd/bankledge/main_test.go
@@ -646,7 +646,7 @@
 			kind, stream, _, _ := conn.read()
 			assert.Equal(t, []any{byte(3), uint32(0)}, []any{kind, stream})
 			require.NoError(t, r.cmd.Process.Signal(syscall.SIGHUP)) // a reload during a stop ends nothing
-			late := dial(t, r) // new connections are told at once, and answered all the same
+			late := dial(t, r)                                       // new connections are told at once, and answered all the same
 			kind, _, _, _ = late.read()
 			assert.Equal(t, byte(3), kind)
 			late.send(1, 0, "\x00")
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -318,6 +318,8 @@
 		}
 		if err == nil {
 			head, _, _, err := c.do(time.Now().Add(pollHeld+pollSlack), message("DELETE", x.path, c.address, nil))
+			x.back.log.Debug("called off", zap.String("statement", string(x.Statement)), zap.String("engine", string(x.Engine)),
+				zap.Duration("after", time.Since(x.sent)), zap.Int("status", head.Status), zap.Error(err))
 			if err != nil || head.Close || c.look() != quiet {
 				x.back.pool.drop(c)
 			} else {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,13 +29,13 @@
 // The design's figures (marked 'ours' there) and this module's own. All else derives from settings.
 const (
 	nearWeight, farWeight          = 8.0, 11.0   // zone weight
-	warmCost, coldCost, warmGroups = 1.0, 2.0, 4 // warmth cost; table groups sent last that count as warm on an engine
+	warmCost, coldCost, warmGroups = 1.0, 2.0, 4 // warmth cost; groups sent last that count as warm on an engine
 	fanOutSlack                    = 4.0         // candidates over a table group's even part of the engines
-	fanOutDoubt                    = 0.3         // statements an engine that count against a table group with few of them
+	fanOutDoubt                    = 0.3         // statements an engine that count against a group with few
 	fanOutDecay                    = 0.999       // of the table groups' counts, at each statement
 	fanOutMost, tallyMost          = 32, 4096    // candidates; table groups remembered, whatever statements name
 	windowThreads                  = 2.0         // ceiling of a window, in threads a core
-	busyUtil, overUtil             = 0.65, 0.90  // above them a candidate counts as congested, a window is halved
+	busyUtil, overUtil             = 0.65, 0.90  // above: a candidate is congested, a window is halved
 	reportPeriod                   = time.Second // between steps of a window; a report is fresh so long
 
 	sweepEvery, learnRate = 50 * time.Millisecond, 0.05
@@ -46,7 +46,7 @@
 	backoffFirst, backoffMost = 500 * time.Millisecond, 8 * time.Second // before a left engine is tried again
 
 	silentSLOs, silentPaces = 0.6, 10.0       // SLO times, usual runs without news, where there are no notes
-	badPlan                 = 4.0             // times the expected run that make an execution worth giving up
+	badPlan, halfDone       = 4.0, 0.5        // expected runs, worth giving up; share done, for priority 3
 	roomThreads             = 3.2             // threads a core that all routers together keep on an engine
 	mixDecay                = 0.995           // a sweep
 	heavySight              = 2.5             // of what others hold, for what is not light, by the share that is
@@ -56,10 +56,8 @@
 	askFirst, askMost       = 2, 4            // probes for a statement's candidates, and for wider choice
 	barredCost              = 1e6             // of a barred engine, in its score
 	leftLeast               = 0.05            // of a window, however many others hold
-	halfDone                = 0.5             // share done from which an execution gets the highest priority
 	engineLearn, engineFade = 0.2, 0.002      // of an engine's own pace, at an answer and a sweep
-	paceStep                = 0.02            // of a workload's pace, up or down at each answer
-	chanceRoom              = 3.0             // of a share, in times its square root
+	paceStep, chanceRoom    = 0.02, 3.0       // of a workload's pace at an answer; of a share, times its root
 	lookedMost              = 4               // statements of a workload without room before a pass skips it
 	grantFirst, grantMost   = 1.25, 3.0       // of the estimate of memory
 	grantUp, grantDown      = 0.04, 0.004     // of a workload's grants, at a spill and without one
@@ -672,8 +670,10 @@
 		m.due.At(rest, func() { m.stirred = true; m.keys.Forget(s.Key, rest) })
 	}
 	switch ev.Outcome {
-	case decision.Errored: // it answers; how fast it fails tells nothing of its pace
-		m.back(e)
+	case decision.Errored: // something answers there, which does not prove that it works, nor tell its pace
+		if e.Left {
+			m.leave(e, false)
+		}
 	case decision.Completed:
 		m.back(e)
 		w.Done++
