--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,8 +54,7 @@
 	crowdMost               = 1.6             // statements a core, all routers' and what time-outs left
 	loadKnown               = 4               // notes' time that a load is held to go on after a note of it
 	askFirst, askMost       = 2, 4            // probes for a statement's candidates, and for wider choice
-	barredCost              = 1e6             // of a barred engine, in its score
-	leftLeast               = 0.05            // of a window, however many others hold
+	barredCost, leftLeast   = 1e6, 0.05       // of a barred engine's score; of a window, whatever others hold
 	engineLearn, engineFade = 0.2, 0.002      // of an engine's own pace, at an answer and a sweep
 	paceStep, chanceRoom    = 0.02, 3.0       // of a workload's pace at an answer; of a share, times its root
 	lookedMost              = 4               // statements of a workload without room before a pass skips it
@@ -231,7 +230,8 @@
 	}
 	// Candidates: warm engines, then nearer zones, by rendezvous hash; all when these are congested.
 	candidates, most := m.candidates(s, ready), askFirst
-	if !slices.ContainsFunc(candidates, func(e *engine) bool { return !m.congested(e, s.Workload) }) {
+	free := func(e *engine) bool { return !m.congested(e, s.Workload) }
+	if !s.Workload.Load && !slices.ContainsFunc(candidates, free) { // a load would stop its group's reads there
 		candidates, most = ready, askMost
 	}
 	if m.byProbe {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -627,6 +627,29 @@
 	assert.Equal(t, []decision.Abort{{Statement: "3"}}, pick[decision.Abort](b), "it may have run")
 }
 
+// Where its half of the engines is congested, a load waits there: elsewhere it would stop the reads of its group.
+func TestLoadsKeepToTheirHalf(t *testing.T) {
+	b := newBed(t).at(0, ready("a", "b", "c", "d"))
+	kept := b.m.candidates(&statement{Workload: b.m.workloads[1]}, slices.Clone(b.m.fleet.Ranked(0)))
+	require.Len(t, kept, 2)
+	for _, e := range b.m.fleet.All {
+		if e.Util, e.UtilKnown = 0.1, true; slices.Contains(kept, e) {
+			e.Util, e.Others = busyUtil+0.1, busyUtil*e.Cores
+		}
+	}
+	for i := range 4 {
+		on := b.at(time.Duration(i+1), write(decision.StatementID(strconv.Itoa(i)))).sentTo()
+		if i < 2 { // one load of a group an engine
+			require.Contains(t, kept, b.m.fleet.Of(on))
+		} else {
+			require.Empty(t, on, "it waits")
+		}
+	}
+	for _, e := range kept {
+		require.NotEqual(t, e, b.m.fleet.Of(b.at(5, read("r"+decision.StatementID(e.Engine))).sentTo()))
+	}
+}
+
 // Ids, keys and table groups may be new for ever: what is kept of them levels off.
 func TestNothingGrows(t *testing.T) {
 	b := newBed(t)
