--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,17 +47,15 @@
 
 	silentSLOs, silentPaces = 0.6, 10.0       // SLO times, usual runs without news, where there are no notes
 	badPlan, halfDone       = 4.0, 0.5        // expected runs, worth giving up; share done, for priority 3
-	roomThreads             = 3.2             // threads a core that all routers together keep on an engine
-	mixDecay                = 0.995           // a sweep
+	roomThreads, mixDecay   = 3.2, 0.995      // threads a core that all routers keep on an engine; a sweep
 	heavySight              = 2.5             // of what others hold, for what is not light, by the share that is
 	partSpan                = 4 * time.Second // over which a router keeps its part of the fleet on average
 	crowdMost               = 1.6             // statements a core, all routers' and what time-outs left
-	loadKnown               = 4               // notes' time that a load is held to go on after a note of it
 	askFirst, askMost       = 2, 4            // probes for a statement's candidates, and for wider choice
 	barredCost, leftLeast   = 1e6, 0.05       // of a barred engine's score; of a window, whatever others hold
 	engineLearn, engineFade = 0.2, 0.002      // of an engine's own pace, at an answer and a sweep
 	paceStep, chanceRoom    = 0.02, 3.0       // of a workload's pace at an answer; of a share, times its root
-	lookedMost              = 4               // statements of a workload without room before a pass skips it
+	lookedMost, loadKnown   = 4, 4            // without room before a pass skips a workload; notes a load lasts
 	grantFirst, grantMost   = 1.25, 3.0       // of the estimate of memory
 	grantUp, grantDown      = 0.04, 0.004     // of a workload's grants, at a spill and without one
 )
@@ -231,8 +229,10 @@
 	// Candidates: warm engines, then nearer zones, by rendezvous hash; all when these are congested.
 	candidates, most := m.candidates(s, ready), askFirst
 	free := func(e *engine) bool { return !m.congested(e, s.Workload) }
-	if !s.Workload.Load && !slices.ContainsFunc(candidates, free) { // a load would stop its group's reads there
-		candidates, most = ready, askMost
+	if !slices.ContainsFunc(candidates, free) {
+		if candidates, most = ready, askMost; s.Workload.Load { // one engine stays for its group's reads
+			candidates = ready[:max(1, len(ready)-1)]
+		}
 	}
 	if m.byProbe {
 		if candidates = m.asked(s, candidates, most); len(candidates) == 0 {
