An engine where statements err that complete elsewhere is left

Holding nothing, it had the lowest score and drew the most executions (score and ended in policy/policy.go: an error only brought an engine back). Ruled out: bad peers, bad statements, the release, the restart (docs/incidents/2026-12-sockets.md).

MaxRetryAdvice is 0 where advice is not allowed, in place of a field of its own.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -112,8 +112,7 @@
 	MayCancel      bool
 	MayProbe       bool
 	SecondCopies   bool
-	RetryAdvice    bool
-	MaxRetryAdvice time.Duration
+	MaxRetryAdvice time.Duration // the longest that clients heed, 0: advice is not allowed
 	MaxExecutions  int
 	MaxOpen        int
 	MaxOut         int  // executions that the host can hold at once, 0: any number
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -151,8 +151,7 @@
 			ProgressEvery: in.Extra.TellsEvery.span()},
 		Shares: decision.Shares{OverImportance: in.OverShareWorth},
 		Limits: decision.Limits{MayCancel: in.Bounds.MayCancel, MayProbe: in.Bounds.MayProbe,
-			SecondCopies: in.Bounds.SecondCopies, RetryAdvice: in.Bounds.RetryAfter,
-			MaxRetryAdvice: in.Bounds.MaxRetryAfter.span(), MaxExecutions: in.Bounds.MaxAttempts,
+			SecondCopies: in.Bounds.SecondCopies, MaxExecutions: in.Bounds.MaxAttempts,
 			MaxOpen: in.Bounds.MaxOpen, ListAskedEvery: in.Guarantees.AskEvery.span()},
 		Rules: decision.Rules{DrainGrace: in.Guarantees.DrainGrace.span(), ColdShare: in.Guarantees.ColdShare,
 			WarmAfter: in.Guarantees.WarmAfter.span(), ColdMultiple: in.Guarantees.OverloadFactor,
@@ -178,6 +177,9 @@
 		}
 		o.Reports.Fields = append(o.Reports.Fields, field)
 	}
+	if in.Bounds.RetryAfter {
+		o.Limits.MaxRetryAdvice = in.Bounds.MaxRetryAfter.span()
+	}
 	for i, k := range in.MachineTypes {
 		o.Engines.Machines[k] = decision.Machine{Cores: at(in.Extra.CPUOfKind, i, 0),
 			MemoryMB: at(in.Extra.RAMOfKindMb, i, 0)}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -208,6 +208,7 @@
 	LeftUntil, Backoff time.Duration
 	LastNews, Stepped  time.Duration
 	Pace               float64 // time taken over what its workload usually takes
+	Errors             float64 // share of errors there of statements that completed, learned
 	Probing            bool
 	ProbedAt, Reported time.Duration // last probe, last report
 	ColdSent           span.Sum
@@ -227,6 +228,7 @@
 // Restarted forgets what an engine held before it started anew, but not what is still to end.
 func (e *Engine) Restarted(windows []Window) {
 	e.Warm, e.Left, e.Lost, e.Backoff, e.Others, e.Windows = nil, false, false, 0, 0, windows
+	e.Errors = 0
 	for _, x := range e.Execs {
 		e.Windows[x.Stmt.Workload.ID].InFlight++
 	}
@@ -319,6 +321,20 @@
 	}
 }
 
+// ErredOn notes a statement that completed on an engine there, and on the other engines where it ended with an error
+// before; it returns those of the latter whose share of errors is above so much.
+func (s *Statement) ErredOn(completed *Engine, learn, most float64) (above []*Engine) {
+	completed.Errors *= 1 - learn
+	for _, x := range s.Execs {
+		if x.Erred && x.Engine != completed {
+			if x.Engine.Errors += learn * (1 - x.Engine.Errors); x.Engine.Errors > most {
+				above = append(above, x.Engine)
+			}
+		}
+	}
+	return above
+}
+
 // Execution is one execution of a statement.
 type Execution struct {
 	Stmt                                *Statement
@@ -327,6 +343,7 @@
 	Sent                                time.Duration
 	MemoryMB                            float64
 	Ended, NeverRan, Cancelled, Spilled bool
+	Erred                               bool // ended with an error
 }
 
 // KeyLine is the line of statements with one key, in the order they were taken.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,7 +6,7 @@
 // Beside the design stand six mechanisms:
 //  1. gate: every send and every final answer passes the rules there.
 //  2. clock: one timer, one ordered row of due times; every statement is answered in time.
-//  3. health: engines that do not connect or fall silent are left and tried with care.
+//  3. health: engines that do not connect, err alone or fall silent are left and tried with care.
 //  4. further executions: what was lost, is stuck or got a bad plan goes elsewhere, if harmless.
 //  5. holding and shedding: statements wait here while engines are full, by what their answer counts.
 //  6. grants and priorities, where engines heed them.
@@ -38,10 +38,9 @@
 	busyUtil, overUtil             = 0.65, 0.90  // above: a candidate is congested, a window is halved
 	reportPeriod                   = time.Second // between steps of a window; a report is fresh so long
 
-	sweepEvery, learnRate = 50 * time.Millisecond, 0.05
-	coldSafety            = 0.6                    // of a cold engine's budget, for slow machines and chance
-	coldMargin            = 500 * time.Millisecond // around the rule's times, for what is on its way
-	capacityShare         = 0.85                   // of the cores, busy at capacity
+	sweepEvery, learnRate     = 50 * time.Millisecond, 0.05
+	coldSafety, capacityShare = 0.6, 0.85              // of a cold engine's budget; of the cores at capacity
+	coldMargin                = 500 * time.Millisecond // around the rule's times, for what is on its way
 
 	backoffFirst, backoffMost = 500 * time.Millisecond, 8 * time.Second // before a left engine is tried again
 
@@ -49,6 +48,7 @@
 	badPlan, halfDone       = 4.0, 0.5        // expected runs, worth giving up; share done, for priority 3
 	roomThreads, mixDecay   = 3.2, 0.995      // threads a core that all routers keep on an engine; a sweep
 	heavySight              = 2.5             // of what others hold, for what is not light, by the share that is
+	errorsMost              = 0.5             // share of errors from which an engine is left; back at half of it
 	partSpan                = 4 * time.Second // over which a router keeps its part of the fleet on average
 	crowdMost               = 1.6             // statements a core, all routers' and what time-outs left
 	askFirst, askMost       = 2, 4            // probes for a statement's candidates, and for wider choice
@@ -63,9 +63,7 @@
 type (
 	workload  = state.Workload
 	engine    = state.Engine
-	window    = state.Window
 	statement = state.Statement
-	execution = state.Execution
 )
 
 // Module is one instance. Instances share nothing.
@@ -376,23 +374,17 @@
 	}
 }
 
-func (m *Module) halve(w *window) {
+func (m *Module) halve(w *state.Window) {
 	if w.Halved == 0 || m.now >= w.Halved+reportPeriod {
 		w.Halved, w.Size = m.now, max(1, w.Size/2)
 		w.Threshold = w.Size
 	}
 }
 
-func (m *Module) refused(w *window) {
-	m.halve(w)
-	w.Refusals, w.Barred = w.Refusals+1, true
-	m.due.At(m.now+reportPeriod, func() { w.Barred = false })
-}
-
-func (m *Module) firstWindows(e *engine) []window {
-	windows := make([]window, len(m.workloads))
+func (m *Module) firstWindows(e *engine) []state.Window {
+	windows := make([]state.Window, len(m.workloads))
 	for i, w := range m.workloads {
-		windows[i] = window{Size: m.fleet.MeanWindow(e, i, 1), Threshold: ceiling(e, w)}
+		windows[i] = state.Window{Size: m.fleet.MeanWindow(e, i, 1), Threshold: ceiling(e, w)}
 	}
 	return windows
 }
@@ -480,10 +472,8 @@
 		return
 	case !m.mayReject(s):
 		m.do(decision.Abort{Statement: s.ID})
-	case m.limits.RetryAdvice:
-		m.do(decision.Reject{Statement: s.ID, RetryIn: m.limits.MaxRetryAdvice})
 	default:
-		m.do(decision.Reject{Statement: s.ID})
+		m.do(decision.Reject{Statement: s.ID, RetryIn: m.limits.MaxRetryAdvice})
 	}
 	m.finish(s)
 }
@@ -497,7 +487,7 @@
 	}
 }
 
-func (m *Module) cancel(x *execution) {
+func (m *Module) cancel(x *state.Execution) {
 	if !x.Ended && !x.Cancelled && m.limits.MayCancel {
 		x.Cancelled = true
 		m.do(decision.Cancel{Statement: x.Stmt.ID, Execution: x.N})
@@ -575,10 +565,13 @@
 
 // back takes an engine in again. One that was lost may have started anew before the list says so.
 func (m *Module) back(e *engine) {
+	if e.LastNews = m.now; e.Left && e.Errors > errorsMost/2 { // a few more must complete there first
+		return
+	}
 	if e.Lost {
 		e.StartedAt, e.Warm = max(e.StartedAt, m.now), nil
 	}
-	e.Left, e.Lost, e.Backoff, e.LastNews = false, false, 0, m.now
+	e.Left, e.Lost, e.Backoff = false, false, 0
 }
 
 // watch finds engines that took work and tell nothing of it, and saves what is stuck there.
@@ -643,7 +636,7 @@
 }
 
 // rescue calls off an execution that is stuck or has a bad plan, so that it may go elsewhere.
-func (m *Module) rescue(x *execution) {
+func (m *Module) rescue(x *state.Execution) {
 	s := x.Stmt
 	if s.Done || s.Streamed || s.Workload.Effect != decision.Idempotent || !m.mayRepeat(s) {
 		return
@@ -671,10 +664,13 @@
 	}
 	switch ev.Outcome {
 	case decision.Errored: // something answers there, which does not prove that it works, nor tell its pace
-		if e.Left {
+		if x.Erred = true; e.Left {
 			m.leave(e, false)
 		}
-	case decision.Completed:
+	case decision.Completed: // what erred elsewhere speaks against the engine there: it is not the statement
+		for _, o := range s.ErredOn(e, engineLearn, errorsMost) {
+			m.leave(o, false)
+		}
 		m.back(e)
 		w.Done++
 		if m.now-x.Sent > s.Workload.Allowance(s.Run)/2 {
@@ -687,7 +683,9 @@
 			s.Workload.Grant = max(1, s.Workload.Grant*(1-grantDown))
 		}
 	case decision.Full:
-		m.refused(w)
+		m.halve(w)
+		w.Refusals, w.Barred = w.Refusals+1, true
+		m.due.At(m.now+reportPeriod, func() { w.Barred = false })
 	case decision.NotConnected:
 		m.leave(e, true)
 	case decision.Reset: // a crash breaks all that is out; a flaky link only some, and is no reason to leave
@@ -723,7 +721,7 @@
 		(others > 0 && memory > e.MemoryMB || e.MemOut > 0 && e.MemOut+m.need(s) > e.MemoryMB/m.routers) {
 		return false
 	}
-	loaded := func(x *execution) bool { return x.Stmt.Workload.Load && x.Stmt.Tables == s.Tables }
+	loaded := func(x *state.Execution) bool { return x.Stmt.Workload.Load && x.Stmt.Tables == s.Tables }
 	return !s.Workload.WaitsForLoads && !s.Workload.Load ||
 		m.now >= e.LoadedUntil[s.Tables] && !slices.ContainsFunc(e.Execs, loaded)
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -54,9 +54,13 @@
 	t.Run("a refusal halves once a period and bars for one", func(t *testing.T) {
 		b := newBed(t).at(0, ready("a", "b"))
 		w := &b.m.fleet.Of("a").Windows[0]
-		w.Size, b.m.now = 8, time.Second
-		b.m.refused(w)
-		b.m.refused(w)
+		w.Size = 8
+		b.at(time.Second, read("1"), read("2"))
+		for _, id := range []decision.StatementID{"1", "2"} {
+			b.m.fleet.Of("a").Holds(b.m.stmts[id], time.Second, 0)
+			n := decision.ExecutionID(len(b.m.stmts[id].Execs) - 1)
+			b.at(time.Second, end(id, n, "a", decision.Full))
+		}
 		assert.Equal(t, 4.0, w.Size)
 		assert.True(t, w.Barred)
 		b.at(time.Second + reportPeriod)
@@ -700,3 +704,40 @@
 	b.at(3, read("3")).at(4, end("3", 0, "a", decision.Errored))
 	require.Equal(t, pace, b.m.workloads[0].Pace)
 }
+
+// An engine that fails fast draws ever more, since it is never busy. What errs there and completes elsewhere speaks against it;
+// what errs everywhere speaks against itself.
+func TestEngineThatErrs(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		other decision.Outcome // of the second execution
+		left  bool
+	}{{"alone", decision.Completed, true}, {"like the others", decision.Errored, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t).at(0, ready("a", "b"))
+			now, failing := time.Duration(0), b.at(1, read("first")).sentTo()
+			b.at(2, end("first", 0, failing, decision.Completed))
+			for i := range 10 {
+				now = time.Duration(i+1) * ms
+				id := decision.StatementID("s" + strconv.Itoa(i))
+				on, n := b.at(now, read(id)).sentTo(), decision.ExecutionID(0)
+				for on == failing {
+					on = b.at(now+1, end(id, n, on, decision.Errored)).sentTo()
+					n++
+				}
+				if on != "" {
+					b.at(now+2, end(id, n, on, c.other))
+				}
+				b.at(now+3, decision.ClientLeft{Statement: id})
+			}
+			assert.Equal(t, c.left, b.m.fleet.Of(failing).Left)
+			if !c.left {
+				return
+			}
+			b.at(now+backoffFirst, read("trial"))
+			require.Equal(t, failing, b.m.stmts["trial"].Execs[0].Engine.Engine, "a trial")
+			b.at(now+backoffFirst+1, end("trial", 0, failing, decision.Completed))
+			assert.True(t, b.m.fleet.Of(failing).Left, "one that completes is not enough")
+		})
+	}
+}
