--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,9 +38,9 @@
 	busyUtil, overUtil             = 0.65, 0.90  // above: a candidate is congested, a window is halved
 	reportPeriod                   = time.Second // between steps of a window; a report is fresh so long
 
-	sweepEvery, learnRate, answerShare = 50 * time.Millisecond, 0.05, 8 // the last: of a client's time, for its answer
-	coldSafety, capacityShare          = 0.6, 0.85                      // of a cold engine's budget; of the cores at capacity
-	coldMargin                         = 500 * time.Millisecond         // around the rule's times, for what is on its way
+	sweepEvery, learnRate, answerShare = 50 * time.Millisecond, 0.05, 8 // the last: of a client's time
+	coldSafety, capacityShare          = 0.6, 0.85                      // of a cold budget; of the cores at capacity
+	coldMargin                         = 500 * time.Millisecond         // around the rule's times
 
 	backoffFirst, backoffMost = 500 * time.Millisecond, 8 * time.Second // before a left engine is tried again
 
