--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,7 +39,7 @@
 	reportPeriod                   = time.Second // between steps of a window; a report is fresh so long
 
 	sweepEvery, learnRate, answerShare = 50 * time.Millisecond, 0.05, 8 // the last: of a client's time
-	coldSafety, capacityShare          = 0.6, 0.85                      // of a cold budget; of the cores at capacity
+	coldSafety, capacityShare          = 0.6, 0.85                      // of a cold budget; of the cores
 	coldMargin                         = 500 * time.Millisecond         // around the rule's times
 
 	backoffFirst, backoffMost = 500 * time.Millisecond, 8 * time.Second // before a left engine is tried again
