--- a/cmd/bankledge/main_test.go
+++ b/cmd/bankledge/main_test.go
@@ -710,6 +710,24 @@
 	assert.Equal(t, []any{byte(2), byte(20)}, []any{kind, code})
 }
 
+// A client that floods is answered, slowed down and in the end closed; others have their answers meanwhile.
+func TestFlood(t *testing.T) {
+	r := start(t, newControl(t), 256, newEngine(t, "one", map[string][]step{"POST": {done("fine\n")}}))
+	var flood []byte
+	for stream := range uint32(1000) {
+		flood = append(flood, frameOf(7, stream+1, statement("odd", int(stream)))...)
+	}
+	bad, good := dial(t, r), dial(t, r)
+	go bad.Write(flood)
+	for n := range uint32(20) {
+		good.send(7, n+1, statement("lookup", int(n)))
+		good.answer(n+1, 20, "fine\n")
+	}
+	bad.answer(1, 50, "field c: unknown workload")
+	said, _ := io.ReadAll(bad) // to the end of the connection
+	assert.Less(t, strings.Count(string(said), "unknown workload"), 200)
+}
+
 // What comes in pieces and never whole, or not at all, ends in time.
 func TestSilentClients(t *testing.T) {
 	r := start(t, newControl(t), 256, newEngine(t, "one", map[string][]step{"POST": {done("fine\n")}}))
--- a/internal/front/frame_test.go
+++ b/internal/front/frame_test.go
@@ -1,12 +1,17 @@
 package front
 
 import (
+	"context"
 	"encoding/binary"
+	"io"
+	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 )
 
 func TestParseFrame(t *testing.T) {
@@ -104,3 +109,40 @@
 		}
 	})
 }
+
+type nobody struct{}
+
+func (nobody) TakeIn(*Conn, uint32, Fields, []byte) bool { return true }
+func (nobody) Left(*Conn, []uint32)                      {}
+func (nobody) Ready() bool                               { return true }
+
+// Frames that are large and have not come whole share what room there is, and give it back.
+func TestLargeFramesShareRoom(t *testing.T) {
+	const room = mostLength + 100
+	f := New(nobody{}, 10, room, zap.NewNop())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Serve(ctx, listener) }()
+	begin := func() net.Conn {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		_, err = c.Write(appendFrame(nil, typeStatement, 1, mostLength-leastLength))
+		require.NoError(t, err)
+		return c
+	}
+	first := begin()
+	defer first.Close()
+	require.Eventually(t, func() bool { return f.room.Load() < room }, 10*time.Second, time.Millisecond)
+	second := begin()
+	defer second.Close()
+	said, err := io.ReadAll(second)
+	require.NoError(t, err)
+	assert.Contains(t, string(said), "no memory left for the frame")
+	first.Close()
+	require.Eventually(t, func() bool { return f.room.Load() == room }, 10*time.Second, time.Millisecond)
+	cancel()
+	listener.Close()
+	require.NoError(t, <-ended)
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -76,3 +77,14 @@
 	require.Empty(t, g.route.open)
 	require.Equal(t, int64(1), g.figures.aborted.Load())
 }
+
+// The ids of answered statements that are remembered are bounded, and the latest are among them.
+func TestUsedIDs(t *testing.T) {
+	u := usedIDs{half: 10}
+	for i := range 1000 {
+		u.add(decision.StatementID(strconv.Itoa(i)))
+		require.LessOrEqual(t, len(u.now)+len(u.older), 20)
+	}
+	require.True(t, u.has("999") && u.has("990"))
+	require.False(t, u.has("900"))
+}
