--- a/cmd/bankledge/main_test.go
+++ b/cmd/bankledge/main_test.go
@@ -407,6 +407,8 @@
 		{"garbage for ever", "load", map[string][]step{"POST": {raw("so what\r\n\r\n")}, "GET 0": {raw("so what\r\n\r\n")}}, 1, 51, "", 1, 1},
 		{"a cut page", "load", map[string][]step{"POST": {says(200, rows, "X-Batches", "2")},
 			"GET 1": {raw(good + "X-Batch: 1\r\nContent-Length: 8\r\n\r\none\n"), says(200, "one\n", "X-Batch", "1")}}, 1, 20, rows + "one\n", 1, 0},
+		{"a page that does not come", "load", map[string][]step{"POST": {says(200, rows, "X-Batches", "2")},
+			"GET 1": {silent, says(200, "one\n", "X-Batch", "1")}}, 1, 20, rows + "one\n", 1, 0},
 		{"a page that only the connection's end ends", "load", map[string][]step{"POST": {raw(good + "X-Batches: 1\r\n\r\none\n")}, "GET 0": {done("one\ntwo\n")}},
 			1, 20, "one\ntwo\n", 1, 0},
 		{"a claim of 3 GB", "load", map[string][]step{"POST": {raw(good + "X-Batches: 1\r\nContent-Length: 3000000000\r\n\r\none\n")}, "GET 0": {done("one\n")}},
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -20,7 +20,7 @@
 	mostSpoilt = 16 // answers of an execution that cannot be used, before it counts as an error
 
 	pollHeld  = 250 * time.Millisecond // an engine holds a poll so long when there is no news
-	pollSlack = 500 * time.Millisecond // beyond it a poll counts as hanging
+	pollSlack = 300 * time.Millisecond // beyond it a poll counts as hanging, and so does a page, which is not held
 	forgets   = 2 * time.Second        // an engine drops what has not been asked for so long
 	forgetOff = 300 * time.Millisecond // for what was on its way
 	askAgain  = 50 * time.Millisecond  // between tries on a connection that does not come up
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -122,7 +122,7 @@
 	if left < time.Millisecond || !x.stage.CompareAndSwap(waiting, started) || x.ctx.Err() != nil {
 		return decision.NeverSent, nil, true // the last: lapsed may have looked before it was started
 	}
-	said, whole, err := x.ask(message("POST", "/x", c.address, x.Text, fieldID, string(x.Statement),
+	said, whole, err := x.ask(pollHeld+pollSlack, message("POST", "/x", c.address, x.Text, fieldID, string(x.Statement),
 		fieldWorkload, x.Workload, fieldLimit, millis(left), "Content-Length", strconv.Itoa(len(x.Text))))
 	if !whole { // part of it cannot run; one broken connection says nothing of the engine
 		return decision.NeverSent, nil, true
@@ -153,7 +153,7 @@
 		} else if time.Since(time.Unix(0, x.asked.Load())) < pollHeld/4 {
 			x.pause() // an engine that does not hold its answer while there is no news
 		}
-		said, err = x.fetch("/0", isNews)
+		said, err = x.fetch("/0", pollHeld+pollSlack, isNews)
 	}
 	switch {
 	case errors.Is(err, errLapsed):
@@ -173,11 +173,11 @@
 	return errors.Is(err, errLapsed) || errors.Is(err, errProcessGone) || errors.Is(err, errNoEngine) || errors.Is(err, errNoPage)
 }
 
-// ask makes one call on the connection that the execution holds, bounded by the poll's time.
-func (x *Execution) ask(call []byte) (said answer, whole bool, err error) {
+// ask makes one call on the connection that the execution holds, and waits so long for its answer.
+func (x *Execution) ask(within time.Duration, call []byte) (said answer, whole bool, err error) {
 	now := time.Now()
 	x.asked.Store(now.UnixNano())
-	said.Head, said.body, whole, err = x.conn.do(now.Add(pollHeld+pollSlack), call)
+	said.Head, said.body, whole, err = x.conn.do(now.Add(within), call)
 	found := ended
 	if err == nil {
 		found = x.conn.look()
@@ -229,7 +229,7 @@
 
 // fetch asks for news or a page until there is an answer of use: on another connection when one breaks, hangs
 // or brings what cannot be used.
-func (x *Execution) fetch(what string, awaited func(answer) bool) (answer, error) {
+func (x *Execution) fetch(what string, within time.Duration, awaited func(answer) bool) (answer, error) {
 	var before *answer
 	for tries, fresh := 0, false; ; tries++ {
 		if tries > 1 {
@@ -255,7 +255,7 @@
 			}
 			x.conn = c
 		}
-		said, _, err := x.ask(message("GET", x.path+what, x.conn.address, nil))
+		said, _, err := x.ask(within, message("GET", x.path+what, x.conn.address, nil))
 		if err == nil {
 			if err = fits(said, awaited, before); err == nil {
 				return said, nil
@@ -288,7 +288,7 @@
 func (x *Execution) collect(result []byte, pages int) ([]byte, error) {
 	for page := 1; page < pages && len(result) <= mostResult; page++ {
 		number := strconv.Itoa(page)
-		said, err := x.fetch("/"+number, func(a answer) bool {
+		said, err := x.fetch("/"+number, pollSlack, func(a answer) bool {
 			return a.Status == 200 && a.Get(fieldPage) == number && wholeRows(a.body) || a.Status == 500
 		})
 		if err != nil {
