A connection that rests longer than its last call's time is used again

Cause: each call sets its deadline on the connection (550 ms for a poll). A pooled connection was looked at before its next use by a read that the runtime refuses once that deadline is past, and a refused look counted as "ended". So every connection that had rested for over half a second was closed and made anew. Ruled out: engines that close idle connections (the bench counts none), the pool's own retirement (9 s), addresses that move. At fault: conn.look in internal/back/pool.go.

Change: the look clears the read deadline first. A test has a connection outlive its call; it fails without the line.

--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -45,11 +45,13 @@
 	noisy              // more than was asked for has come: what follows cannot be told apart
 )
 
-// look finds out the state without waiting.
+// look finds out the state without waiting. The time that the last call was given may be over by now, and a connection past its
+// time can't be looked at: every one that had rested for longer than a call's time was taken for ended and made anew.
 func (c *conn) look() state {
 	if c.reader.Buffered() {
 		return noisy
 	}
+	c.raw.SetReadDeadline(time.Time{})
 	sys, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return ended
