Engines that all routers together jam are left for a growing while

Each router looked again as soon as its sight had faded; 300 of them kept it so.

Change: an engine whose report tells of over 1.5 times the crowd that is let in is left like a silent one, for a growing while, and taken back when a report tells of room. From an engine where an execution was called off for a bad plan a router keeps off until each engine might have had its turn.

--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -77,6 +77,13 @@
 	At                   time.Duration
 }
 
+// NewShare is a full bucket for so many statements a second, which holds one second of them, one more, and room times their root,
+// since few statements a second vary much.
+func NewShare(perSec, room float64) *Share {
+	most := perSec + room*math.Sqrt(perSec) + 1
+	return &Share{PerSec: perSec, Most: most, Tokens: most}
+}
+
 // Take takes a token, or tells that there is none.
 func (s *Share) Take(now time.Duration) bool {
 	s.Tokens = min(s.Most, s.Tokens+s.PerSec*(now-s.At).Seconds())
@@ -190,6 +197,15 @@
 	Refusals, Late, Done int // since the windows last moved
 }
 
+// Grow is a step up: twofold below the slow-start threshold, by one above it.
+func (w *Window) Grow(most float64) {
+	if w.Size < w.Threshold {
+		w.Size = min(w.Size*2, most)
+	} else {
+		w.Size = min(w.Size+1, most)
+	}
+}
+
 // Engine is what is known of one engine.
 type Engine struct {
 	decision.Entry
@@ -210,6 +226,7 @@
 	LastNews, Stepped  time.Duration
 	Pace               float64 // time taken over what its workload usually takes
 	Errors             float64 // share of errors there of statements that completed, learned
+	Turn               int     // statements that this router has taken, before which it is passed over
 	Probing            bool
 	ProbedAt, Reported time.Duration                         // last probe, last report
 	ColdSent           span.Sum                              // work
@@ -239,6 +256,9 @@
 	}
 }
 
+// Held is the number of statements there, as last reported, with what this router has sent since.
+func (e *Engine) Held() float64 { return e.Others + float64(len(e.Execs)) }
+
 // Loaded notes until when a load of another router holds a table group, and drops what is past.
 func (e *Engine) Loaded(tables decision.TableGroup, now, until time.Duration) {
 	maps.DeleteFunc(e.LoadedUntil, func(_ decision.TableGroup, t time.Duration) bool { return t <= now })
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,10 +31,9 @@
 const (
 	nearWeight, farWeight        = 8.0, 11.0      // zone weight
 	warmCost, coldCost, turnCost = 1.0, 2.0, 0.25 // warmth cost; the last: of a cold engine that may be warmed
-	warmGroups                   = 4              // table groups sent last that count as warm on an engine
+	warmGroups, fanOutDecay      = 4, 0.999       // groups sent last that are warm; of their counts, a statement
 	fanOutSlack                  = 4.0            // candidates over a table group's even part of the engines
 	fanOutDoubt                  = 0.3            // statements an engine that count against a group with few
-	fanOutDecay                  = 0.999          // of the table groups' counts, at each statement
 	fanOutMost, tallyMost        = 32, 4096       // candidates; table groups remembered, whatever is named
 	windowThreads                = 2.0            // ceiling of a window, in threads a core
 	busyUtil, overUtil           = 0.65, 0.90     // above: a candidate is congested, a window is halved
@@ -52,7 +51,7 @@
 	heavySight              = 2.5             // of what others hold, for what is not light, by the share that is
 	errorsMost              = 0.5             // share of errors from which an engine is left; back at half of it
 	partSpan                = 4 * time.Second // over which a router keeps its part of the fleet on average
-	crowdMost               = 1.6             // statements a core, all routers' and what time-outs left
+	crowdMost, jamMost      = 1.6, 1.5        // statements a core, all routers' and what time-outs left; of that
 	askFirst, askMost       = 2, 4            // probes for a statement's candidates, and for wider choice
 	barredCost, leftLeast   = 1e6, 0.05       // of a barred engine's score; of a window, whatever others hold
 	engineLearn, engineFade = 0.2, 0.002      // of an engine's own pace, at an answer and a sweep
@@ -63,11 +62,9 @@
 	grantUp, grantDown      = 0.04, 0.004     // of a workload's grants, at a spill and without one
 )
 
-type (
-	workload  = state.Workload
-	engine    = state.Engine
-	statement = state.Statement
-)
+type workload = state.Workload
+type engine = state.Engine
+type statement = state.Statement
 
 // Module is one instance. Instances share nothing.
 type Module struct {
@@ -84,6 +81,7 @@
 	keys           state.KeyLines // lines of statements that keep their order
 	taken, further span.Sum       // statements, and executions beyond each one's first
 	opened         time.Duration  // when this instance started
+	turns          int            // statements taken
 	cold           belief.Warming // how cold engines' budgets are cut among all routers
 	due            due.Times
 	armed, swept   time.Duration // when the one timer comes, 0: not set; last sweep
@@ -120,9 +118,7 @@
 			Pace: 1, Work: w.SLO.Seconds() / 4 * float64(w.Threads)})
 	}
 	for _, g := range shares.Groups {
-		rate := g.PerSec / m.routers
-		most := rate + chanceRoom*math.Sqrt(rate) + 1 // few statements a second vary much
-		m.shares[g.Group] = &state.Share{PerSec: rate, Most: most, Tokens: most}
+		m.shares[g.Group] = state.NewShare(g.PerSec/m.routers, chanceRoom)
 	}
 	if limits.ListOnRequest {
 		m.due.At(0, func() { m.do(decision.FollowList{On: true}) })
@@ -217,7 +213,7 @@
 	s.Run, s.Work = seconds(work/float64(s.As.Threads)), max(work, w.Work, s.As.Work)
 	s.Last = s.End - min(2*max(m.me.Tick, time.Millisecond), ev.TimeBudget/answerShare)
 	s.SLODue = m.now + w.Allowance(s.Run)
-	m.stmts[s.ID] = s
+	m.stmts[s.ID], m.turns = s, m.turns+1
 	m.cold.See(s.Work, s.As.Work, s.Resent)
 	if m.lights *= 1 - learnRate; m.isLight(s) {
 		m.lights += learnRate
@@ -378,7 +374,9 @@
 	}
 	e.Reported = m.now
 	if e.Hear(r, m.now); r.Known[decision.FieldInFlight] {
-		m.crowd.Hear(m.now, e.Others)
+		if m.crowd.Hear(m.now, e.Others); m.jammed(e) {
+			m.leave(e, false)
+		}
 	}
 	if m.now >= e.Stepped+reportPeriod {
 		m.step(e, r.Known[decision.FieldUtilisation])
@@ -394,10 +392,8 @@
 		case w.Refusals > 0: // halved at the refusal
 		case e.Queue >= 1 || utilKnown && e.Util > overUtil || !utilKnown && w.Late*2 > w.Done:
 			m.halve(w)
-		case w.Size < w.Threshold:
-			w.Size = min(w.Size*2, ceiling(e, m.workloads[i]))
 		default:
-			w.Size = min(w.Size+1, ceiling(e, m.workloads[i]))
+			w.Grow(ceiling(e, m.workloads[i]))
 		}
 		w.Barred = w.Barred && w.Refusals > 0
 		w.Refusals, w.Late, w.Done = 0, 0, 0
@@ -569,8 +565,7 @@
 			machine := m.traits.Machines[entry.Kind]
 			e = m.fleet.Add(&engine{Entry: entry, Cores: max(1, machine.Cores), MemoryMB: machine.MemoryMB,
 				Stepped: m.now, LastNews: m.now, Reported: m.now - reportPeriod, Pace: 1,
-				Counted:     m.now,
-				LoadedUntil: map[decision.TableGroup]time.Duration{}})
+				Counted: m.now, LoadedUntil: map[decision.TableGroup]time.Duration{}})
 			e.Windows = m.firstWindows(e)
 		} else if entry.StartedAt > e.StartedAt { // started anew: it holds nothing warm
 			e.Restarted(m.firstWindows(e), m.now)
@@ -582,8 +577,8 @@
 
 // usable: not left; a left engine takes one statement as a trial after a while, idempotent if it can be.
 func (m *Module) usable(e *engine, s *statement) bool {
-	return !e.Left || len(e.Execs) == 0 && m.now >= e.LeftUntil &&
-		(s.Effect == decision.Idempotent || m.now >= e.LeftUntil+backoffMost)
+	return m.turns >= e.Turn && (!e.Left || len(e.Execs) == 0 && m.now >= e.LeftUntil &&
+		(s.Effect == decision.Idempotent || m.now >= e.LeftUntil+backoffMost))
 }
 
 // leave stops sending to an engine that does not connect or is silent, for a growing while.
@@ -595,9 +590,13 @@
 	}
 }
 
+// jammed: all routers together hold so much there that little of it ends. If each looked again when its sight
+// had faded, that alone would keep it so: it is left, and tried after a growing while.
+func (m *Module) jammed(e *engine) bool { return e.Held() > jamMost*crowdMost*e.Cores*m.warmth(e) }
+
 // back takes an engine in again. One that was lost may have started anew before the list says so.
 func (m *Module) back(e *engine) {
-	if e.LastNews = m.now; e.Left && e.Errors > errorsMost/2 { // a few more must complete there first
+	if e.LastNews = m.now; e.Left && (e.Errors > errorsMost/2 || m.jammed(e)) { // more must complete there first
 		return
 	}
 	if e.Lost {
@@ -674,6 +673,7 @@
 	if s.Done || s.Streamed || s.Effect != decision.Idempotent || !m.mayRepeat(s) {
 		return
 	}
+	x.Engine.Turn = m.turns + len(m.fleet.All) // not again before each engine might have had its turn
 	if m.cancel(x); !x.Cancelled && m.limits.SecondCopies && s.Open == 1 && !slices.Contains(m.held, s) {
 		s.Avoid = x.Engine // no cancel here, but a second copy
 		m.hold(s)
@@ -706,6 +706,7 @@
 			m.leave(o, false)
 		}
 		m.back(e)
+		e.Turn = 0
 		w.Done++
 		if m.now-x.Sent > s.Workload.Allowance(s.Run)/2 {
 			w.Late++
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -762,3 +762,39 @@
 	b.at(56 * ms)
 	require.Len(t, pick[decision.Reject](b), 1)
 }
+
+// An engine that all routers together jam is left, and tried by one statement after a growing while, whatever a router believes of
+// an engine that it has not heard of lately. One that ends and tells of room brings it back.
+func TestJammedEngine(t *testing.T) {
+	full := func(id decision.StatementID, held float64) decision.ExecutionEnded {
+		e := end(id, 0, "a", decision.Completed)
+		e.Report = &decision.Report{}
+		e.Report.Value[decision.FieldInFlight], e.Report.Known[decision.FieldInFlight] = held, true
+		return e
+	}
+	b := newBed(t).at(0, ready("a"), read("s"))
+	b.at(100*ms, full("s", 2*crowdMost*8))
+	assert.Empty(t, b.at(200*ms, read("early")).sentTo())
+	wait := func(from, to time.Duration) (sent time.Duration) { // a statement each 50 ms, until one is sent
+		for at := from; at < to; at += 50 * ms {
+			id := decision.StatementID(fmt.Sprint("at ", at))
+			if b.at(at, read(id)); len(pick[decision.Execute](b)) > 0 {
+				b.at(at+ms, full(pick[decision.Execute](b)[0].Statement, 2*crowdMost*8))
+				return at
+			}
+		}
+		return to
+	}
+	first := wait(250*ms, 20*time.Second)
+	second := wait(first+50*ms, first+30*time.Second)
+	third := wait(second+50*ms, second+30*time.Second)
+	assert.Greater(t, third-second, second-first, "ever longer")
+	for at := third + 50*ms; at < third+time.Minute; at += 50 * ms { // a trial that finds room, and one more
+		b.at(at, read(decision.StatementID(fmt.Sprint("again ", at))))
+		if sent := pick[decision.Execute](b); len(sent) > 0 {
+			b.at(at+ms, full(sent[0].Statement, 1))
+			break
+		}
+	}
+	assert.False(t, b.m.jammed(b.m.fleet.Of("a")))
+}
