Server-sent events are read by a package of their own

Need: the router's link to a control group reads the same kind of stream as the control feed; the parser stood inside the feed.

No behaviour changes: the feed's tests and fuzz seeds pass as they are.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -2,8 +2,6 @@
 package feed
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -11,7 +9,6 @@
 	"io"
 	"net"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +17,7 @@
 	"bankledge/decision"
 	"bankledge/internal/http1"
 	"bankledge/internal/settings"
+	"bankledge/internal/sse"
 )
 
 const (
@@ -226,42 +224,7 @@
 
 // events reads server-sent events until the stream ends or one calls for a new connection.
 func (f *Feed) events(body io.Reader) error {
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4<<10), mostEvent)
-	lines.Split(splitLines)
-	var data []string
-	var id string
-	size, begun := 0, true
-	for lines.Scan() {
-		line := lines.Text()
-		if begun {
-			line, begun = strings.TrimPrefix(line, "\ufeff"), false
-		}
-		if line == "" {
-			if len(data) > 0 {
-				if err := f.event(id, strings.Join(data, "\n")); err != nil {
-					return err
-				}
-			}
-			data, id, size = nil, "", 0
-			continue
-		}
-		field, value, _ := strings.Cut(line, ":")
-		value = strings.TrimPrefix(value, " ")
-		switch field {
-		case "data":
-			if size += len(value); size > mostEvent {
-				return errors.New("event too large")
-			}
-			data = append(data, value)
-		case "id":
-			id = value
-		}
-	}
-	if err := lines.Err(); err != nil {
-		return err
-	}
-	return io.EOF
+	return sse.Read(body, mostEvent, func(e sse.Event) error { return f.event(e.ID, e.Data) })
 }
 
 // event takes one event: repeats are passed over, a gap is asked for again once.
@@ -291,21 +254,3 @@
 	}
 	return nil
 }
-
-// splitLines splits at CR LF, LF or CR. A CR at the end of what was read waits for what follows.
-func splitLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
-	i := bytes.IndexAny(data, "\r\n")
-	switch {
-	case i < 0 && atEOF && len(data) > 0:
-		return len(data), data, nil
-	case i < 0:
-		return 0, nil, nil
-	case data[i] == '\n':
-		return i + 1, data[:i], nil
-	case i+1 < len(data) && data[i+1] == '\n':
-		return i + 2, data[:i], nil
-	case i+1 == len(data) && !atEOF:
-		return 0, nil, nil
-	}
-	return i + 1, data[:i], nil
-}
