--- a/cmd/bankledge-lab/main.go
+++ b/cmd/bankledge-lab/main.go
@@ -25,6 +25,7 @@
 	Shrink  shrink     `cmd:"" help:"Cut a schedule that fails down to its least, and keep it as a file that replays."`
 	Compare compare    `cmd:"" help:"Play the same schedules with two or more builds of the router, in turn."`
 	Mutants mutantsCmd `cmd:"" help:"Take one guard off the router at a time, and see that an auditor finds it."`
+	Terms   terms      `cmd:"" help:"Play the control group and the routers' terms under a simulated clock, many schedules."`
 	Kinds   kinds      `cmd:"" help:"List the kinds of faults, and the auditors."`
 }
 
--- a/cmd/bankledge-lab/mutants.go
+++ b/cmd/bankledge-lab/mutants.go
@@ -113,8 +113,13 @@
 	return nil
 }
 
-// build builds the router with the guard taken off; the source stays as it is.
+// build builds the router with the guard taken off.
 func (m mutant) build() (path string, drop func(), err error) {
+	return mutate(m.name, "./cmd/bankledge", m.edits)
+}
+
+// mutate builds a program with a guard taken off; the source stays as it is.
+func mutate(name, program string, edits []edit) (path string, drop func(), err error) {
 	dir, err := os.MkdirTemp("", "bankledge-lab")
 	if err != nil {
 		return "", nil, err
@@ -126,7 +131,7 @@
 		}
 	}()
 	texts, replaced := map[string]string{}, map[string]string{}
-	for _, e := range m.edits {
+	for _, e := range edits {
 		if texts[e.file] == "" {
 			text, err := os.ReadFile(e.file)
 			if err != nil {
@@ -135,7 +140,7 @@
 			texts[e.file] = string(text)
 		}
 		if n := strings.Count(texts[e.file], e.old); n != 1 {
-			return "", nil, fmt.Errorf("%s: the guard stands %d times in %s", m.name, n, e.file)
+			return "", nil, fmt.Errorf("%s: the guard stands %d times in %s", name, n, e.file)
 		}
 		texts[e.file] = strings.Replace(texts[e.file], e.old, e.new, 1)
 	}
@@ -158,8 +163,8 @@
 		return "", nil, err
 	}
 	path = filepath.Join(dir, "bankledge")
-	if out, err := exec.Command("go", "build", "-overlay", overlay, "-o", path, "./cmd/bankledge").CombinedOutput(); err != nil {
-		return "", nil, fmt.Errorf("%s does not build: %s", m.name, strings.TrimSpace(string(out)))
+	if out, err := exec.Command("go", "build", "-overlay", overlay, "-o", path, program).CombinedOutput(); err != nil {
+		return "", nil, fmt.Errorf("%s does not build: %s", name, strings.TrimSpace(string(out)))
 	}
 	return path, drop, nil
 }
--- /dev/null
+++ b/cmd/bankledge-lab/terms.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"bankledge/internal/trial"
+)
+
+// terms plays the state machines of the control group and of the routers under a simulated clock.
+type terms struct {
+	From    uint64 `default:"0" help:"First seed."`
+	Count   uint64 `default:"1000" help:"Number of schedules."`
+	Routers int    `default:"6" help:"Routers in each."`
+	Push    bool   `help:"The baseline: no terms and no cautious side, routers act on what they hear."`
+	Stop    bool   `help:"End at the first schedule that breaks a rule."`
+	Chart   string `help:"File for a chart of the longest contradictions, PNG." type:"path"`
+	Mutants bool   `help:"Take one guard off the machines at a time, and see that an auditor finds it."`
+	Trace   bool   `help:"Write what happens in the first schedule."`
+	JSON    bool   `help:"Write the outcome as JSON."`
+}
+
+// sums is what came of all schedules.
+type sums struct {
+	Schedules  uint64        `json:"schedules"`
+	Broken     uint64        `json:"broken"` // schedules
+	First      string        `json:"first"`  // finding
+	Worst      time.Duration `json:"worst_ns"`
+	Bound      time.Duration `json:"bound_ns"`
+	OverIn     uint64        `json:"over_in"` // schedules
+	Pairs      int           `json:"pairs"`
+	Versions   uint64        `json:"versions"`
+	Terms      float64       `json:"terms"` // share of the time that routers had one
+	longest    plotter.Values
+	wallClock  time.Duration
+	MostLateMS int64 `json:"most_late_ms"` // from the first quiet moment until all act on the newest version
+}
+
+// Run plays them, as many at once as there are cores.
+func (c *terms) Run() error {
+	if c.Mutants {
+		return c.mutants()
+	}
+	if c.Count == 0 || c.Routers < 1 || c.Routers > 1000 {
+		return errors.New("count, routers: not above 0, or over 1,000 routers")
+	}
+	s, err := c.play()
+	if err != nil {
+		return err
+	}
+	if c.Chart != "" {
+		if err := s.chart(c.Chart); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		if err := json.NewEncoder(os.Stdout).Encode(s); err != nil {
+			return err
+		}
+	} else {
+		fmt.Printf("%d schedules of %d routers in %v: longest contradiction %v (bound %v), over it in %d; %d pairs of versions contradicted each other; %d versions; terms held %.3f of the time; latest convergence %d ms\n",
+			s.Schedules, c.Routers, s.wallClock.Round(time.Millisecond), s.Worst, s.Bound, s.OverIn, s.Pairs, s.Versions, s.Terms, s.MostLateMS)
+	}
+	if s.Broken > 0 {
+		return fmt.Errorf("rules were broken in %d schedules: %s", s.Broken, s.First)
+	}
+	return nil
+}
+
+func (c *terms) play() (*sums, error) {
+	s := &sums{Bound: trial.Bound(trial.Draw(0, c.Routers).Spans)}
+	began := time.Now()
+	batch := uint64(4 * runtime.GOMAXPROCS(0))
+	for from := c.From; from < c.From+c.Count && !(c.Stop && s.Broken > 0); from += batch {
+		n := min(batch, c.From+c.Count-from)
+		results := make([]trial.Result, n)
+		var group errgroup.Group
+		group.SetLimit(runtime.GOMAXPROCS(0))
+		for i := range n {
+			group.Go(func() error {
+				o := trial.Draw(from+i, c.Routers)
+				o.Push = c.Push
+				if c.Trace && from+i == c.From {
+					results[i] = trial.Play(o, os.Stderr)
+				} else {
+					results[i] = trial.Play(o, nil)
+				}
+				return nil
+			})
+		}
+		if err := group.Wait(); err != nil {
+			return nil, err
+		}
+		for _, r := range results {
+			s.add(r)
+		}
+	}
+	s.wallClock = time.Since(began)
+	s.Terms /= float64(max(1, s.Schedules))
+	return s, nil
+}
+
+func (s *sums) add(r trial.Result) {
+	s.Schedules++
+	s.Worst, s.Pairs, s.Versions, s.Terms = max(s.Worst, r.Worst), s.Pairs+r.Pairs, s.Versions+r.Versions, s.Terms+r.Terms
+	s.longest = append(s.longest, r.Worst.Seconds())
+	s.MostLateMS = max(s.MostLateMS, r.Late.Milliseconds())
+	if r.Over > 0 {
+		s.OverIn++
+	}
+	if len(r.Findings) > 0 {
+		if s.Broken++; s.First == "" {
+			f := r.Findings[0]
+			s.First = fmt.Sprintf("seed %d, %s at %v: %s", r.Seed, f.Auditor, f.At, f.Text)
+		}
+	}
+}
+
+// chart draws how the longest contradictions of the schedules are spread, beside the bound.
+func (s *sums) chart(path string) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "longest contradiction of a schedule", "seconds", "schedules"
+	h, err := plotter.NewHist(s.longest, 60)
+	if err != nil {
+		return err
+	}
+	bound, err := plotter.NewLine(plotter.XYs{{X: s.Bound.Seconds(), Y: 0}, {X: s.Bound.Seconds(), Y: float64(len(s.longest)) / 5}})
+	if err != nil {
+		return err
+	}
+	p.Add(h, bound)
+	p.Legend.Add("bound", bound)
+	return p.Save(14*vg.Centimeter, 9*vg.Centimeter, path)
+}
+
+const (
+	routerSide = "internal/agree/router.go"
+	groupSide  = "internal/agree/group.go"
+	both       = "internal/agree/agree.go"
+	versions   = "internal/agree/register.go"
+	process    = "internal/seat/seat.go"
+)
+
+// termMutants are guards of the state machines, each taken off alone.
+var termMutants = []struct {
+	name  string
+	edits []edit
+}{
+	{"a term is counted from when its answer comes", []edit{{routerSide, "	asked := of.at\n", "	asked := now\n"}}},
+	{"a router's clock is trusted", []edit{{both, "return time.Duration(float64(s.Term) * (1 - s.Drift))", "return time.Duration(float64(s.Term) * (1 + s.Drift))"}}},
+	{"the group takes terms to be shorter", []edit{{both, "return time.Duration(float64(s.Term) * (1 + s.Drift))", "return s.Term / 2"}}},
+	{"the group counts a term from long before", []edit{{groupSide, "max(s.Until, w.at+g.Spans.Owed())", "max(s.Until, w.at+g.Spans.Owed()-g.Spans.Term/2)"}}},
+	{"what loosens takes force on arrival", []edit{{routerSide, "	if r.settled != nil {\n		add(r.settled.Rules)", "	if r.settled != nil && r.pending == nil {\n		add(r.settled.Rules)"}}},
+	{"a version is settled while terms run that do not know it", []edit{{groupSide, "		if s.Until > now && s.Known < g.newest {\n			return nil\n		}\n	}\n	g.asked", "	}\n	g.asked"}, {groupSide, "	for _, s := range g.sessions {\n	}\n	g.asked", "	g.asked"}}},
+	{"a new leader does not wait", []edit{{groupSide, "free: now + g.Spans.Owed(),", "free: now,"}}},
+	{"a term is granted without proof that the process leads", []edit{{groupSide, "	return []GroupAction{Confirm{g.token}}", "	return g.confirmed(now)"}}},
+	{"a term is granted to who does not know the newest version", []edit{{groupSide, "	case r.Known == g.newest && r.Known > 0:\n", "	case r.Known > 0:\n		reply.Newest = r.Known\n"}}},
+	{"the term is not looked at after a pause", []edit{{routerSide, "if r.until > 0 && now >= r.until {", "if r.until > 0 && now >= r.until+time.Second {"}}},
+	{"nothing is saved before it is acknowledged", []edit{{process, "		if e.Sync {\n", "		if e.Sync && e.Snapshot != nil {\n"}}},
+	{"a vote is not kept", []edit{{"internal/consensus/node.go", "e.Persist.Hard, e.Persist.Entries, e.Sync = rd.HardState, rd.Entries, rd.MustSync", "e.Persist.Entries, e.Sync = rd.Entries, rd.MustSync"}}},
+	{"a version is written before the one before it is in force", []edit{{versions, "if g.Number() > g.Settled {", "if false {"}, {groupSide, "len(g.appended) > 0 || g.newest > g.settled || g.lineage", "len(g.appended) > 0 || g.lineage"}}},
+	{"a version is taken though the one before it is missing", []edit{{routerSide, "	case v.Number > newest.Number+1 && v.Number > settled: // the", "	case false: // the"}}},
+	{"terms are kept by name, not by process", []edit{{groupSide, "	s := g.sessions[r.Incarnation]\n", "	s := g.sessions[r.Name]\n"}, {groupSide, "		g.sessions[r.Incarnation] = s\n", "		g.sessions[r.Name] = s\n"}}},
+	{"a proposal that comes twice counts twice", []edit{{versions, "return e.ID != \"\" && o.ID == e.ID", "return false && o.ID == e.ID"}}},
+	{"a version is told of before it is synced", []edit{{process, "	return last(append(do, t.after(now)...))", "	return append(do, t.after(now)...)"}}},
+	{"the state is read before what was committed is applied", []edit{{process, "			if r.Index > t.node.Index() {", "			if false {"}}},
+}
+
+// mutants builds this program with each guard taken off, and plays until an auditor finds it.
+func (c *terms) mutants() error {
+	missed := 0
+	for _, m := range termMutants {
+		path, drop, err := mutate(m.name, "./cmd/bankledge-lab", m.edits)
+		if err != nil {
+			return err
+		}
+		began := time.Now()
+		out, err := exec.Command(path, "terms", "--stop", "--json", "--count", strconv.FormatUint(c.Count, 10), "--from", strconv.FormatUint(c.From, 10),
+			"--routers", strconv.Itoa(c.Routers)).Output()
+		drop()
+		found := sums{}
+		if json.Unmarshal(out, &found) != nil { // it broke down
+			found.First = "the program broke down: " + fmt.Sprint(err)
+		}
+		if found.First == "" {
+			missed++
+			found.First = fmt.Sprintf("not found in %d schedules", found.Schedules)
+		}
+		fmt.Printf("| %s | %s | %v |\n", m.name, found.First, time.Since(began).Round(time.Second/10))
+	}
+	if missed > 0 {
+		return fmt.Errorf("%d of %d mutants were not found", missed, len(termMutants))
+	}
+	return nil
+}
