Routers act on a control group's versions, in terms, where the operator names one

Change: internal/steer asks for terms and follows the stream of versions with the parsers that are there; the route goroutine owns agree.Router and looks at the clock before each batch; what a batch decided is not sent once its term has ended (a stop between the look and the act). The module hears of rules as one event: budgets and what was learned keep their clocks, and a statement counts for what it did when it came. Lists are the cautious side of the feed's and the version's. Off without LB_CONTROL: `run` is as it was.

--- a/cmd/bankledge/main.go
+++ b/cmd/bankledge/main.go
@@ -15,6 +15,7 @@
 
 	"bankledge/internal/gateway"
 	"bankledge/internal/settings"
+	"bankledge/internal/steer"
 )
 
 type commands struct {
@@ -25,11 +26,12 @@
 }
 
 type serve struct {
-	Config string        `env:"LB_CONFIG" required:"" help:"Configuration, a JSON file."`
-	Listen string        `env:"LB_LISTEN" help:"Address for clients; the configuration's if empty."`
-	Name   string        `env:"LB_NAME" help:"The router's name; the configuration's if empty."`
-	Looks  string        `env:"LB_LOOKS" enum:"on,off" default:"on" help:"Hold statements to be what they look like and have shown (on), or as their clients declare them (off)."`
-	Level  zapcore.Level `env:"LB_LOG_LEVEL" default:"info" help:"Lowest level of the log lines: debug, info, warn, error."`
+	Config  string        `env:"LB_CONFIG" required:"" help:"Configuration, a JSON file."`
+	Listen  string        `env:"LB_LISTEN" help:"Address for clients; the configuration's if empty."`
+	Name    string        `env:"LB_NAME" help:"The router's name; the configuration's if empty."`
+	Looks   string        `env:"LB_LOOKS" enum:"on,off" default:"on" help:"Hold statements to be what they look like and have shown (on), or as their clients declare them (off)."`
+	Control string        `env:"LB_CONTROL" help:"The operator's own file that names a control group; none: there is no group."`
+	Level   zapcore.Level `env:"LB_LOG_LEVEL" default:"info" help:"Lowest level of the log lines: debug, info, warn, error."`
 }
 
 // Run serves until SIGTERM or an interrupt. SIGHUP has it read the configuration again, at any time.
@@ -45,7 +47,15 @@
 	defer flush()
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	return gateway.New(cfg, log).Run(stop, reload, s.load)
+	g := gateway.New(cfg, log)
+	if s.Control != "" {
+		file, err := steer.Load(s.Control)
+		if err != nil {
+			return err
+		}
+		g.Steer(file)
+	}
+	return g.Run(stop, reload, s.load)
 }
 
 // load reads the configuration, with what the command line or the environment says in its place.
--- a/decision/decision.go
+++ b/decision/decision.go
@@ -64,6 +64,7 @@
 	Zones            []Zone // where given, the only zones allowed
 	Kinds            []Kind // where given, the only kinds of machine allowed
 	Threads          int
+	Protected        bool // turned away only when its time is over
 	Load             bool // holds its table group on its engine while it runs
 	WaitsForLoads    bool // stands still while a load holds its table group
 }
@@ -131,6 +132,8 @@
 	FurtherWindow time.Duration
 	FurtherFree   float64
 	FurtherShare  float64
+	Probes        float64                   // a statement, 0: as the module has it
+	KeptOff       map[TableGroup][]EngineID // engines that a table group is not placed on
 }
 
 // Field is one figure of a load report.
@@ -297,6 +300,16 @@
 		Took    time.Duration
 		Report  *Report
 	}
+	// RulesChanged brings rules that take force now, in place of those of the start. Slices are by workload.
+	RulesChanged struct {
+		Routers        float64 // one over this router's part of the fleet's budgets
+		Rules          Rules
+		Importance     []float64
+		Kinds          [][]Kind // the only kinds of machine allowed, where given
+		Protected      []bool   // turned away only when its time is over
+		Shares         []Share
+		OverImportance float64
+	}
 	// Stopping tells that this instance ends within a time: what is open must be answered by then.
 	Stopping struct{ Within time.Duration }
 	// PeerTold is a message from another router.
@@ -328,6 +341,7 @@
 func (ClientReads) event()      {}
 func (TimerFired) event()       {}
 func (ProbeEnded) event()       {}
+func (RulesChanged) event()     {}
 func (Stopping) event()         {}
 func (PeerTold) event()         {}
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,6 +130,12 @@
 	group.Go(func() error { return g.awaitReload(ctx, reload, load, follow) })
 	group.Go(func() error { return g.reach(ctx, known) })
 	group.Go(func() error { return g.report(ctx) })
+	if s := g.route.steering; s != nil {
+		group.Go(func() error {
+			defer s.link.Close()
+			return s.link.Run(ctx)
+		})
+	}
 	group.Go(func() error {
 		defer end()
 		defer listener.Close()
@@ -178,11 +184,12 @@
 		ev.Kind = whole
 	}
 	listed := map[decision.EngineID]bool{}
+	var addresses []string
 	for _, m := range c.Members {
 		if listed[m.Engine] = m.State != decision.Gone; !listed[m.Engine] {
 			g.back.Forget(m.Engine)
 		}
-		ev.Entries = append(ev.Entries, m.Entry)
+		ev.Entries, addresses = append(ev.Entries, m.Entry), append(addresses, m.Address)
 	}
 	if c.Complete {
 		g.back.Keep(listed)
@@ -192,7 +199,7 @@
 			g.back.Know(m.Engine, m.Address)
 		}
 	}
-	g.route.post(input{event: ev})
+	g.route.post(input{event: ev, address: addresses})
 }
 
 // reach finds out at the start whether engines can be reached: one is enough.
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"bankledge/decision"
+	"bankledge/internal/agree"
 	"bankledge/internal/classify"
 	"bankledge/policy"
 )
@@ -21,8 +22,10 @@
 // input is one thing that happened.
 type input struct {
 	event   decision.Event
-	stmt    *statement // with an arrival
-	left    *stmtAt    // a client that waits no longer
+	steer   agree.RouterEvent // of the link to the control group
+	address []string          // with a list of engines: where each listens
+	stmt    *statement        // with an arrival
+	left    *stmtAt           // a client that waits no longer
 	stalled *stall
 	release *release
 	result  []byte    // with a completed execution
@@ -42,6 +45,8 @@
 	also    []decision.Event // what answers led to, for the module's next call
 	looks   *classify.Classifier
 	counted time.Time // when the counts of looks were last handed out
+
+	steering *steering // nil: no control group
 }
 
 const backstopEvery = 20 * time.Millisecond // within the answer's grace
@@ -76,6 +81,9 @@
 	for _, t := range r.timers {
 		next = min(next, t.At-r.gateway.now())
 	}
+	if r.steering != nil {
+		next = min(next, r.steering.core.Wake()-r.gateway.now())
+	}
 	return max(0, next)
 }
 
@@ -83,7 +91,14 @@
 func (r *route) handle(batch []input) {
 	now := r.gateway.now()
 	events := make([]decision.Event, 0, len(batch)+1)
+	if r.steering != nil { // before anything is decided: who was stopped acts on nothing old
+		events = append(events, r.steered(now, agree.Look{})...)
+	}
 	for _, in := range batch {
+		if in.steer != nil {
+			events = append(events, r.steered(now, in.steer)...)
+			continue
+		}
 		if ev := r.hear(in, now); ev != nil {
 			events = append(events, ev)
 		}
@@ -141,6 +156,10 @@
 		return r.releaseClient(in.release)
 	}
 	switch ev := in.event.(type) {
+	case decision.EngineList:
+		if r.steering != nil {
+			return r.steering.keep(now, ev, in.address)
+		}
 	case decision.StatementArrived:
 		if r.open[ev.Statement] != nil || r.used.has(ev.Statement) { // an engine knows it as another: this one never ran
 			r.answer(in.stmt, rejected, []byte("id is in use"))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"bankledge/decision"
@@ -54,6 +56,9 @@
 	if a.Timeout > 0 && r.gateway.origin.Add(r.gateway.now()+a.Timeout).Before(until) {
 		until = r.gateway.origin.Add(r.gateway.now() + a.Timeout)
 	}
+	if r.steering != nil && r.steering.lapsed(r.gateway.now()) { // stopped since the look: it is never sent, and decided anew
+		until = time.Now().Add(-time.Second)
+	}
 	order := back.Order{Statement: s.id, Execution: decision.ExecutionID(len(s.execs)), Engine: a.Engine,
 		Workload: s.workload, Text: s.text, Until: until}
 	s.out++
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -32,6 +32,19 @@
 	return w.SLO + time.Duration(w.SLOStretch*float64(run))
 }
 
+// Change has workloads and member groups take rules that take force now, for statements that come from now on. What was learned and
+// what a share holds stays.
+func Change(workloads []*Workload, shares map[decision.MemberGroup]*Share, ev *decision.RulesChanged, room float64) {
+	for i, w := range workloads {
+		w.Importance, w.Kinds, w.Protected = ev.Importance[i], ev.Kinds[i], ev.Protected[i]
+	}
+	for _, g := range ev.Shares {
+		if s := shares[g.Group]; s != nil {
+			s.become(g.PerSec/ev.Routers, room)
+		}
+	}
+}
+
 // Traffic counts statements by table group; every count decays at each statement of any group.
 type Traffic struct {
 	Decay  float64
@@ -84,6 +97,13 @@
 	return &Share{PerSec: perSec, Most: most, Tokens: most}
 }
 
+// become gives the share another rate, with what it holds in proportion.
+func (s *Share) become(perSec, room float64) {
+	fresh := NewShare(perSec, room)
+	fresh.Tokens, fresh.At = fresh.Most*s.Tokens/max(1e-9, s.Most), s.At
+	*s = *fresh
+}
+
 // Take takes a token, or tells that there is none.
 func (s *Share) Take(now time.Duration) bool {
 	s.Tokens = min(s.Most, s.Tokens+s.PerSec*(now-s.At).Seconds())
@@ -154,6 +174,20 @@
 	return sum / n
 }
 
+// Ceiling is the largest window of a workload, where an engine takes so many threads a core.
+func (e *Engine) Ceiling(w *Workload, threads float64) float64 {
+	return max(1, e.Cores*threads/float64(w.Threads))
+}
+
+// FirstWindows are a new engine's: the mean of its kind, or 1.
+func (f *Fleet) FirstWindows(e *Engine, workloads []*Workload, threads float64) []Window {
+	windows := make([]Window, len(workloads))
+	for i, w := range workloads {
+		windows[i] = Window{Size: f.MeanWindow(e, i, 1), Threshold: e.Ceiling(w, threads)}
+	}
+	return windows
+}
+
 // Release ends an execution, which may be known never to have run; nil where the engine holds no such one.
 func (f *Fleet) Release(on decision.EngineID, id decision.StatementID, n decision.ExecutionID, neverRan bool) *Execution {
 	if e := f.byID[on]; e != nil {
@@ -331,6 +365,7 @@
 	Run            time.Duration         // expected, on an idle engine
 	MemoryMB       float64               // estimated need
 	Work           float64               // on one thread, in seconds: estimated, or its workload's mean if that is more
+	Importance     float64               // when it came: rules that change later change it no more
 	OverShare      bool
 	Resent         bool          // a client's own further try
 	Taken          time.Duration // when it came
@@ -343,6 +378,11 @@
 	Terms          decision.SetTerms
 }
 
+// LatestStart is the latest time at which its execution still meets the SLO time, at its workload's pace.
+func (s *Statement) LatestStart() time.Duration {
+	return s.SLODue - time.Duration(s.As.Pace*float64(s.Run))
+}
+
 // Names tells whether the statement reads or writes a table group.
 func (s *Statement) Names(t decision.TableGroup) bool {
 	return s.Tables == t || slices.Contains(s.Others, t)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -165,6 +165,8 @@
 			}
 		case decision.ProbeEnded:
 			m.probed(ev)
+		case decision.RulesChanged:
+			m.change(&ev)
 		case decision.Stopping: // what is open by then can wait no longer for this router
 			m.due.At(now+ev.Within, func() {
 				for _, id := range slices.Sorted(maps.Keys(m.stmts)) {
@@ -186,6 +188,13 @@
 	return m.actions
 }
 
+// change takes rules that take force now. What was learned and spent stays: budgets keep their clocks.
+func (m *Module) change(ev *decision.RulesChanged) {
+	m.rules, m.routers, m.overShare = ev.Rules, ev.Routers, ev.OverImportance
+	m.cold.Rules, m.cold.Routers = ev.Rules, ev.Routers
+	state.Change(m.workloads, m.shares, ev, chanceRoom)
+}
+
 func (m *Module) do(a decision.Action) { m.actions = append(m.actions, a) }
 
 // ---- The ordinary path: arrive, then (from dispatch) route and send ----
@@ -195,7 +204,8 @@
 	looks := cmp.Or(ev.Looks, &decision.Looks{As: ev.Workload}) // what it takes; its rules are those declared
 	s := &statement{ID: ev.Statement, Workload: w, As: m.workloads[looks.As], Effect: w.Effect,
 		Tables: ev.Tables, Others: looks.Others, MemoryMB: cmp.Or(looks.NeedMB, ev.NeedMB), Resent: ev.Resent,
-		Taken: m.now, End: m.now + ev.TimeBudget, OverShare: sh != nil && sh.PerSec > 0 && !sh.Take(m.now)}
+		Importance: min(w.Importance, m.workloads[looks.As].Importance),
+		Taken:      m.now, End: m.now + ev.TimeBudget, OverShare: sh != nil && sh.PerSec > 0 && !sh.Take(m.now)}
 	if looks.Writes {
 		s.Effect = decision.NonIdempotent
 	}
@@ -219,7 +229,7 @@
 		m.lights += learnRate
 	}
 	m.traffic.Count(s.Tables)
-	m.asks = min(m.asks+askFirst, askMost*askMost) // probes follow the statements
+	m.asks = min(m.asks+cmp.Or(m.rules.Probes, askFirst), askMost*askMost) // probes follow the statements
 	m.taken.Add(m.now, 1)
 	m.taken.Over(m.now - m.rules.FurtherWindow) // forgets what is older
 	if w.InOrder && ev.Key != "" {
@@ -366,8 +376,6 @@
 
 // ---- Windows ----
 
-func ceiling(e *engine, w *workload) float64 { return max(1, e.Cores*windowThreads/float64(w.Threads)) }
-
 func (m *Module) report(e *engine, r *decision.Report) {
 	if r == nil {
 		return
@@ -393,7 +401,7 @@
 		case e.Queue >= 1 || utilKnown && e.Util > overUtil || !utilKnown && w.Late*2 > w.Done:
 			m.halve(w)
 		default:
-			w.Grow(ceiling(e, m.workloads[i]))
+			w.Grow(e.Ceiling(m.workloads[i], windowThreads))
 		}
 		w.Barred = w.Barred && w.Refusals > 0
 		w.Refusals, w.Late, w.Done = 0, 0, 0
@@ -407,14 +415,6 @@
 	}
 }
 
-func (m *Module) firstWindows(e *engine) []state.Window {
-	windows := make([]state.Window, len(m.workloads))
-	for i, w := range m.workloads {
-		windows[i] = state.Window{Size: m.fleet.MeanWindow(e, i, 1), Threshold: ceiling(e, w)}
-	}
-	return windows
-}
-
 // ---- 1. The rule gate ----
 
 // allows tells whether the rules let this statement go to this engine now.
@@ -428,7 +428,8 @@
 	case s.Effect == decision.Deduplicated && s.Home != nil && w.DedupScope != decision.ScopeAll &&
 		!(w.DedupScope == decision.ScopeZone && s.Home.Engine.Zone == e.Zone) &&
 		!(w.DedupScope == decision.ScopeCell && s.Home.Engine.Cell == e.Cell):
-	case !m.mayRepeat(s), !m.inTurn(s), !m.furtherLeft(s), m.isCold(e) && !m.coldLeft(s, e):
+	case !m.mayRepeat(s), !m.inTurn(s), !m.furtherLeft(s), m.isCold(e) && !m.coldLeft(s, e),
+		slices.Contains(m.rules.KeptOff[s.Tables], e.Engine):
 	default:
 		return true
 	}
@@ -566,9 +567,9 @@
 			e = m.fleet.Add(&engine{Entry: entry, Cores: max(1, machine.Cores), MemoryMB: machine.MemoryMB,
 				Stepped: m.now, LastNews: m.now, Reported: m.now - reportPeriod, Pace: 1,
 				Counted: m.now, LoadedUntil: map[decision.TableGroup]time.Duration{}})
-			e.Windows = m.firstWindows(e)
+			e.Windows = m.fleet.FirstWindows(e, m.workloads, windowThreads)
 		} else if entry.StartedAt > e.StartedAt { // started anew: it holds nothing warm
-			e.Restarted(m.firstWindows(e), m.now)
+			e.Restarted(m.fleet.FirstWindows(e, m.workloads, windowThreads), m.now)
 		}
 		e.Entry, e.Listed = entry, entry.State != decision.Gone
 	}
@@ -763,7 +764,7 @@
 // partSpan, since few statements vary much. What is heavier does not hold up what is lighter.
 func (m *Module) hasPart(s *statement) bool {
 	threads, need := float64(s.As.Threads), m.need(s)
-	if m.now > latestStart(s) { // what is late already takes only what nobody else needs
+	if m.now > s.LatestStart() { // what is late already takes only what nobody else needs
 		return m.credit > 0 && m.partUsed(math.Inf(1), threads, need) <= 1
 	}
 	return m.credit > 0 || m.partUsed(s.As.Work, threads, need) <= 1
@@ -793,7 +794,8 @@
 	left := slices.DeleteFunc(m.held[m.tried:], func(s *statement) bool {
 		w := s.As
 		lastStart := s.End - time.Duration(w.Pace*float64(s.Run)) // what starts later works for nobody
-		if s.Open == 0 && (m.now > lastStart || s.Workload.LateShare == 0 && m.now > (s.SLODue+latestStart(s))/2) {
+		if s.Open == 0 && !s.Workload.Protected && (m.now > lastStart ||
+			s.Workload.LateShare == 0 && m.now > (s.SLODue+s.LatestStart())/2) {
 			m.giveUp(s) // no answer in time, or none that still counts
 		}
 		if s.Aside = s.Unread && !s.Done; s.Aside { // until its client reads: what is held is looked at often
@@ -839,16 +841,12 @@
 	}
 }
 
-func latestStart(s *statement) time.Duration {
-	return s.SLODue - time.Duration(s.As.Pace*float64(s.Run))
-}
-
 func (m *Module) isLight(s *statement) bool { return m.value(s) > m.lightest/2 }
 
 // value is what an answer still counts for its work: less when it will be late or is beyond a share.
 func (m *Module) value(s *statement) float64 {
-	v := min(s.Workload.Importance, s.As.Importance) / max(0.001, s.Run.Seconds()*float64(s.As.Threads))
-	if m.now > latestStart(s) {
+	v := s.Importance / max(0.001, s.Run.Seconds()*float64(s.As.Threads))
+	if m.now > s.LatestStart() {
 		v *= s.Workload.LateShare
 	}
 	if s.OverShare {
