bankledge-control: a group of processes that holds versions, and the lab's cases for it

The lab starts its processes with a link between each two and from each router, cuts, delays and resets them, kills and stops processes, has operators propose, and compares what routers act on.

--- /dev/null
+++ b/cmd/bankledge-lab/group_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"bankledge/internal/lab"
+)
+
+// programs builds the router and the control service.
+func programs(t *testing.T) lab.Options {
+	control := filepath.Join(t.TempDir(), "bankledge-control")
+	out, err := exec.Command("go", "build", "-o", control, "../bankledge-control").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return lab.Options{Program: router(t), Control: control}
+}
+
+// playGroup plays a schedule with processes of the control service and of the router, and has the auditors of agreement judge.
+func playGroup(t *testing.T, o lab.Options, s *lab.Schedule) lab.Contradictions {
+	h, err := lab.Play(context.Background(), s, o)
+	require.NoError(t, err)
+	c := lab.Agreement(h)
+	t.Logf("%d versions, longest contradiction %v of T %v (looser %v), %d pairs, terms %.2f, %v", c.Versions, c.Worst, lab.GroupSpans.T(), c.Loosened, c.Pairs, c.Terms, s.Faults)
+	for _, b := range c.Breaches {
+		t.Errorf("%s, at %v: %s", b.Auditor, b.At, b.Text)
+	}
+	for _, b := range lab.Audit(h) {
+		if b.Auditor != "back" && b.Auditor != "harm" {
+			t.Errorf("%s, at %v: %s", b.Auditor, b.At, b.Text)
+		}
+	}
+	return c
+}
+
+// Schedules drawn from seeds: five processes of the router, a control group of one, three or five, links and processes that fail.
+func TestGroupSchedules(t *testing.T) {
+	n := plays(t)
+	defer goleak.VerifyNone(t)
+	o := programs(t)
+	for seed := range uint64(n) {
+		s := lab.DrawGroup(seed+1, 7)
+		t.Run(s.Name, func(t *testing.T) { playGroup(t, o, s) })
+	}
+}
+
+// The cases that are hard for agreement, each with processes that are killed, stopped and woken, and links cut one way and both.
+func TestGroupHardCases(t *testing.T) {
+	plays(t)
+	defer goleak.VerifyNone(t)
+	o := programs(t)
+	all, some := []int{0, 1, 2, 3, 4}, []int{0, 1}
+	members, leader := []int{0, 1, 2}, []int{-1}
+	for name, c := range map[string]struct {
+		every  float64
+		terms  float64 // least share of the time that routers have one
+		faults []lab.Fault
+	}{
+		"nothing fails":        {0.3, 0.95, nil},
+		"the leader is killed": {0.2, 0.6, []lab.Fault{{Kind: "member-kill", At: 2, For: 1.5, Members: leader}}},
+		"the leader is stopped for longer than a term":     {0.2, 0.5, []lab.Fault{{Kind: "member-stop", At: 2, For: 2.2, Members: leader}}},
+		"routers are stopped across versions and woken":    {0.2, 0.6, []lab.Fault{{Kind: "stop", At: 2, For: 2, Routers: some}}},
+		"routers hear and are not heard":                   {0.2, 0.5, []lab.Fault{{Kind: "group-cut-there", At: 2, For: 2.5, Routers: some, Members: members}}},
+		"routers are heard and hear nothing":               {0.2, 0.5, []lab.Fault{{Kind: "group-cut-back", At: 2, For: 2.5, Routers: some, Members: members}}},
+		"the leader is apart from the others":              {0.2, 0.5, []lab.Fault{{Kind: "apart", At: 2, For: 2.5, Members: leader}}},
+		"routers are killed and come back with nothing":    {0.2, 0.6, []lab.Fault{{Kind: "kill", At: 2, For: 0.2, Routers: []int{0, 1, 2}}}},
+		"two of three are lost for good":                   {0.2, 0.1, []lab.Fault{{Kind: "member-lose", At: 3, Members: []int{0, 1}}}},
+		"a version each 50 ms while links flap":            {0.05, 0.3, []lab.Fault{{Kind: "group-cut", At: 1.5, For: 0.4, Routers: some, Members: members}, {Kind: "group-cut", At: 2.3, For: 1.2, Routers: []int{1, 2}, Members: members}, {Kind: "group-reset", At: 3, Routers: all, Members: members}, {Kind: "group-cut-back", At: 3.6, For: 0.6, Routers: some, Members: members}}},
+		"what the group says comes late by most of a term": {0.3, 0, []lab.Fault{{Kind: "group-delay", At: 1.5, For: 3, Amount: 0.8, Routers: all, Members: members}}},
+		"all connections are reset, and all start anew":    {0.3, 0.4, []lab.Fault{{Kind: "group-reset", At: 2, Routers: all, Members: members}, {Kind: "member-kill", At: 2.5, For: 0.1, Members: members}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &lab.Schedule{Name: name, Seed: 1, Routers: 5, Engines: 2, Seconds: 7, Load: 0.15, Busiest: 1, Control: 3, Every: c.every, Faults: c.faults}
+			got := playGroup(t, o, s)
+			assert.Greater(t, got.Versions, 5)
+			assert.GreaterOrEqual(t, got.Terms, c.terms)
+			assert.NotZero(t, got.Pairs, "there was something to bound")
+		})
+	}
+}
--- /dev/null
+++ b/internal/control/client.go
@@ -0,0 +1,243 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"bankledge/internal/agree"
+	"bankledge/internal/seat"
+	"bankledge/internal/version"
+)
+
+const (
+	mostRenewal   = 4 << 10
+	proposeWithin = 30 * time.Second
+	statusWithin  = time.Second
+	comments      = time.Second
+	writeWithin   = 5 * time.Second // to a router that takes nothing in
+)
+
+// News is an event of the stream of versions.
+type News struct {
+	Lineage string           `json:"lineage"`
+	Settled uint64           `json:"settled"`
+	Version *version.Version `json:"version,omitempty"` // nil: only what is in force has changed
+}
+
+// Status is what a process says of the group.
+type Status struct {
+	ID       uint64                 `json:"id"`
+	Leads    bool                   `json:"leads"` // proven just now
+	Leader   uint64                 `json:"leader"`
+	Term     uint64                 `json:"term"`
+	Lineage  string                 `json:"lineage"`
+	Newest   uint64                 `json:"newest"`
+	Settled  uint64                 `json:"settled"`
+	Hash     string                 `json:"hash"`
+	T        int64                  `json:"t_ms"`
+	Disk     uint64                 `json:"disk_bytes"`
+	Members  map[uint64]seat.Member `json:"members"`
+	Sessions []agree.Session        `json:"sessions"`
+	Error    string                 `json:"error,omitempty"` // why it can't prove that it leads
+}
+
+// Change is a change of members that is asked for.
+type Change struct {
+	ID     uint64      `json:"id"`
+	Member seat.Member `json:"member"`
+	Remove bool        `json:"remove"`
+}
+
+// Versions lists what is kept.
+type Versions struct {
+	Lineage  string             `json:"lineage"`
+	Settled  uint64             `json:"settled"`
+	Versions []*version.Version `json:"versions"`
+}
+
+// client serves routers and operators.
+func (v *Server) client() http.Handler {
+	mux := http.NewServeMux()
+	var streams atomic.Int64
+	mux.HandleFunc("GET /v1/versions/events", func(w http.ResponseWriter, r *http.Request) {
+		defer streams.Add(-1)
+		if streams.Add(1) > mostStreams {
+			http.Error(w, "too many streams", http.StatusServiceUnavailable)
+			return
+		}
+		v.stream(w, r)
+	})
+	mux.HandleFunc("POST /v1/term", v.term)
+	mux.HandleFunc("POST /v1/proposals", v.propose)
+	mux.HandleFunc("POST /v1/members", v.members)
+	mux.HandleFunc("GET /v1/status", v.status)
+	mux.HandleFunc("GET /v1/versions", func(w http.ResponseWriter, r *http.Request) {
+		view := v.view.Load()
+		say(w, http.StatusOK, Versions{view.Lineage, view.Settled, view.Versions})
+	})
+	return mux
+}
+
+// stream sends versions as they are written, and what is in force; a comment each second.
+func (v *Server) stream(w http.ResponseWriter, r *http.Request) {
+	known, err := strconv.ParseUint(r.Header.Get("Last-Event-ID"), 10, 64)
+	if err != nil && r.Header.Get("Last-Event-ID") != "" {
+		http.Error(w, "Last-Event-ID: not a number", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	out, settled := http.NewResponseController(w), uint64(0)
+	tick := time.NewTicker(comments)
+	defer tick.Stop()
+	text := ":\n\n"
+	for {
+		out.SetWriteDeadline(time.Now().Add(writeWithin))
+		if _, err := io.WriteString(w, text); err != nil || out.Flush() != nil {
+			return
+		}
+		more := v.news.next() // before the look: news that comes behind it wakes
+		for text = ""; text == ""; {
+			view := v.view.Load()
+			for _, x := range view.after(known) {
+				known, settled = x.Number, view.Settled
+				text += event(x.Number, News{view.Lineage, view.Settled, x})
+			}
+			if view.Settled > settled {
+				settled = view.Settled
+				text += event(0, News{Lineage: view.Lineage, Settled: settled})
+			}
+			if text != "" {
+				break
+			}
+			select {
+			case <-more:
+				more = v.news.next()
+			case <-tick.C:
+				text = ":\n\n"
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}
+}
+
+func event(id uint64, n News) string {
+	raw, err := json.Marshal(n)
+	if err != nil {
+		return ":\n\n"
+	}
+	text := "data: " + string(raw) + "\n\n"
+	if id > 0 {
+		text = fmt.Sprintf("id: %d\n%s", id, text)
+	}
+	return text
+}
+
+// term answers a renewal.
+func (v *Server) term(w http.ResponseWriter, r *http.Request) {
+	var renewal agree.Renewal
+	if !read(w, r, mostRenewal, &renewal) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), v.settings.Spans().Term)
+	defer cancel()
+	a, err := v.ask(ctx, func(call uint64) seat.Event { return seat.Router{Event: agree.Heard{Call: call, Renewal: renewal}} })
+	answer, is := a.(agree.Answer)
+	if err != nil || !is {
+		http.Error(w, errBusy.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	say(w, http.StatusOK, answer.Reply)
+}
+
+// propose takes a proposal and answers once it has its outcome.
+func (v *Server) propose(w http.ResponseWriter, r *http.Request) {
+	var entry agree.Entry
+	if !read(w, r, version.Most, &entry) {
+		return
+	}
+	v.tell(w, r, func(call uint64) seat.Event { return seat.Router{Event: agree.Wanted{Call: call, Entry: entry}} })
+}
+
+// members takes a change of members.
+func (v *Server) members(w http.ResponseWriter, r *http.Request) {
+	var c Change
+	if !read(w, r, mostRenewal, &c) {
+		return
+	}
+	v.tell(w, r, func(call uint64) seat.Event {
+		return seat.Join{Call: call, ID: c.ID, Member: c.Member, Remove: c.Remove}
+	})
+}
+
+// tell answers a call that has an outcome.
+func (v *Server) tell(w http.ResponseWriter, r *http.Request, event func(uint64) seat.Event) {
+	ctx, cancel := context.WithTimeout(r.Context(), proposeWithin)
+	defer cancel()
+	a, err := v.ask(ctx, event)
+	told, is := a.(agree.Tell)
+	switch {
+	case err != nil || !is:
+		http.Error(w, errBusy.Error(), http.StatusServiceUnavailable)
+	case told.Outcome.Error == agree.ErrNotLeading.Error():
+		say(w, http.StatusMisdirectedRequest, told.Outcome)
+	case told.Outcome.Error != "":
+		say(w, http.StatusConflict, told.Outcome)
+	default:
+		say(w, http.StatusOK, told.Outcome)
+	}
+}
+
+// status tells of the group. Who claims to lead has proven it, so a leader that is cut off does not.
+func (v *Server) status(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), statusWithin)
+	defer cancel()
+	proof, err := v.ask(ctx, func(call uint64) seat.Event { return seat.Router{Event: agree.Check{Call: call}} })
+	view := v.view.Load()
+	s := Status{ID: v.settings.ID, Leader: view.Leader, Term: view.Term, Lineage: view.Lineage, Settled: view.Settled, T: v.settings.Spans().T().Milliseconds(),
+		Disk: v.disk.Size(), Members: view.Members}
+	if n := view.newest(); n != nil {
+		s.Newest, s.Hash = n.Number, n.Hash
+	}
+	told, is := proof.(agree.Tell)
+	switch {
+	case err != nil || !is:
+		s.Error = "it can't prove that it leads: " + errors.Join(err).Error()
+	case told.Outcome.Error != "":
+		s.Error = told.Outcome.Error
+	default:
+		s.Leads, s.Sessions = true, v.sessions(ctx)
+	}
+	say(w, http.StatusOK, s)
+}
+
+// read reads a body of JSON; what is unfit is answered with what is wrong.
+func read(w http.ResponseWriter, r *http.Request, most int64, into any) bool {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if err == nil {
+		err = strict(raw, into)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func say(w http.ResponseWriter, status int, what any) {
+	raw, err := json.Marshal(what)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	w.WriteHeader(status)
+	w.Write(raw)
+}
--- /dev/null
+++ b/internal/lab/agreed.go
@@ -0,0 +1,199 @@
+package lab
+
+import (
+	"fmt"
+	"time"
+
+	"bankledge/internal/rules"
+	"bankledge/internal/version"
+)
+
+// Contradictions is what the auditors of agreement find in a history.
+type Contradictions struct {
+	Worst    time.Duration // that one router did what another, with a term, held to be forbidden
+	Pairs    int           // of rules that contradicted each other at some time
+	Loosened time.Duration // the longest that a router acted on something looser while another had a term on what came before
+	Versions int
+	Terms    float64 // share of the routers' time with a term, once the first version is in force
+	Breaches []Breach
+}
+
+// slack is what a router's log and the lab's own notes may differ by: a process is woken, told or heard a little later than noted.
+const slack = 150 * time.Millisecond
+
+// side is what one router acts on at a moment.
+type side struct {
+	settled, pending uint64
+	term             bool
+	up               bool
+	blind            time.Duration // until then it was just woken or started, and has not looked yet
+}
+
+// Agreement goes through a history and compares, at each change, what all routers act on with what those that have a term go by.
+func Agreement(h *History) (c Contradictions) {
+	by := map[uint64]*version.Version{}
+	for _, v := range h.Versions {
+		by[v.Number] = v
+	}
+	own := groupOwn(h.Schedule)
+	sides := make([]side, h.Schedule.Routers)
+	for i := range sides {
+		sides[i].up = true
+	}
+	type pair struct{ x, y int }
+	type contradiction struct {
+		acts side
+		by   uint64
+	}
+	began, what := map[pair]time.Duration{}, map[pair]contradiction{}
+	seen, memo := map[contradiction]bool{}, map[contradiction]string{}
+	offence := func(a side, n uint64) string {
+		a.blind = 0
+		key := contradiction{a, n}
+		if text, known := memo[key]; known {
+			return text
+		}
+		text := ""
+		if acts, v := acting(a, by, own), by[n]; acts != nil && v != nil {
+			if list := rules.Offends(acts, v.Rules); len(list) > 0 {
+				text = list[0].Name + ": " + list[0].Words
+			}
+		}
+		memo[key] = text
+		return text
+	}
+	held, total, last := 0.0, 0.0, time.Duration(0)
+	look := func(now time.Duration) {
+		for x, a := range sides {
+			if a.settled > 0 && a.up {
+				total += (now - last).Seconds()
+				if a.term {
+					held += (now - last).Seconds()
+				}
+			}
+			for y, b := range sides {
+				p, n := pair{x, y}, max(b.settled, b.pending)
+				active := x != y && a.up && b.up && b.term && a.term && now >= a.blind && now >= b.blind && n > 0
+				text := ""
+				if active {
+					text = offence(a, n)
+				}
+				at := contradiction{a, n}
+				at.acts.blind = 0
+				if text == "" || what[p] != at {
+					if since, goes := began[p]; goes {
+						c.end(now-since, what[p].acts, what[p].by, now, offence(what[p].acts, what[p].by))
+					}
+					delete(began, p)
+					if text == "" {
+						continue
+					}
+					began[p], what[p] = now, at
+				}
+				seen[at] = true
+			}
+		}
+		last = now
+	}
+	for _, e := range h.Events {
+		switch {
+		case e.What == Acts:
+			look(e.At)
+			s := &sides[e.Router]
+			s.settled, s.pending, s.term, s.blind = e.Settled, e.Version, e.Term, 0
+		case e.What == Down && e.Text != "term":
+			look(e.At)
+			sides[e.Router].up = false
+		case e.What == Up:
+			look(e.At)
+			if sides[e.Router].up = true; e.Text != "stop" { // a new process knows nothing
+				sides[e.Router] = side{up: true}
+			}
+			sides[e.Router].blind = e.At + slack
+		default:
+			continue
+		}
+		look(e.At)
+	}
+	if n := len(h.Events); n > 0 {
+		look(h.Events[n-1].At)
+		for p, since := range began {
+			c.end(last-since, what[p].acts, what[p].by, last, offence(what[p].acts, what[p].by))
+		}
+	}
+	c.Pairs, c.Versions = len(seen), len(h.Versions)
+	if total > 0 {
+		c.Terms = held / total
+	}
+	c.acknowledged(h, by)
+	return c
+}
+
+// end takes a contradiction that is over.
+func (c *Contradictions) end(long time.Duration, a side, by uint64, at time.Duration, text string) {
+	c.Worst = max(c.Worst, long)
+	if long > GroupSpans.T()+slack {
+		c.Breaches = append(c.Breaches, Breach{Auditor: "contradiction", At: at, Text: fmt.Sprintf("for %v a router acted on versions %d and %d while another went by %d: %s", long, a.settled, a.pending, by, text)})
+	}
+	if a.settled >= by {
+		if c.Loosened = max(c.Loosened, long); long > slack {
+			c.Breaches = append(c.Breaches, Breach{Auditor: "loosened", At: at, Text: fmt.Sprintf("for %v a router acted on version %d while another had a term on %d: %s", long, a.settled, by, text)})
+		}
+	}
+}
+
+// acknowledged finds proposals that were told a number and are not there, or two that got one.
+func (c *Contradictions) acknowledged(h *History, by map[uint64]*version.Version) {
+	got, newest, oldest := map[uint64]string{}, uint64(0), uint64(0)
+	for n := range by {
+		newest = max(newest, n)
+		if oldest == 0 || n < oldest {
+			oldest = n
+		}
+	}
+	for _, e := range h.Events {
+		if e.What != Written {
+			continue
+		}
+		if other := got[e.Version]; other != "" && other != e.Statement {
+			c.Breaches = append(c.Breaches, Breach{Auditor: "acknowledged", At: e.At, Text: fmt.Sprintf("proposals %s and %s both got version %d", other, e.Statement, e.Version)})
+		}
+		if got[e.Version] = e.Statement; e.Version > newest || e.Version >= oldest && by[e.Version] == nil {
+			c.Breaches = append(c.Breaches, Breach{Auditor: "acknowledged", At: e.At, Text: fmt.Sprintf("proposal %s was told that it is version %d, and nobody has it", e.Statement, e.Version)})
+		}
+	}
+}
+
+// acting are the rules that a router acts on; nil: not known.
+func acting(a side, by map[uint64]*version.Version, own *rules.Rules) (r *rules.Rules) {
+	add := func(with *rules.Rules) {
+		if r == nil {
+			r = with
+		} else if with != nil {
+			r = rules.Meet(r, with)
+		}
+	}
+	for _, n := range []uint64{a.settled, a.pending} {
+		if n == 0 {
+			continue
+		}
+		if by[n] == nil {
+			return nil
+		}
+		add(by[n].Rules)
+	}
+	if a.settled == 0 || !a.term {
+		add(own)
+	}
+	return r
+}
+
+// groupOwn are the rules of the routers' own settings, as far as the auditors need them.
+func groupOwn(s *Schedule) *rules.Rules {
+	r := groupRules(&field{s: s})
+	r.FurtherShare, r.FurtherFree = 0, 0
+	if r.Check() != nil {
+		return nil
+	}
+	return r
+}
--- a/internal/lab/field.go
+++ b/internal/lab/field.go
@@ -16,11 +16,13 @@
 
 	"bankledge/internal/front"
 	"bankledge/internal/standin"
+	"bankledge/internal/version"
 )
 
 // Options say with what a schedule is played.
 type Options struct {
 	Program  string             // the router's, built
+	Control  string             // the control service's, built; nothing: schedules with a group can't be played
 	Dir      string             // for the processes' logs; nothing: a folder of the system's that is removed
 	Progress func(part float64) // of the play; nil: nobody looks
 	Env      map[string]string  // of the routers, beside what the platform gives
@@ -56,17 +58,19 @@
 
 // field is one play: the processes, the links between them, and the history that they leave.
 type field struct {
-	s       *Schedule
-	o       Options
-	dir     string
-	began   time.Time
-	mu      sync.Mutex
-	history []Event
-	routers []*router
-	engines []*engine // by place; one that is replaced keeps its place
-	born    int
-	sources sync.Map // address of a connection's near end, as an engine sees it: the router
-	tries   sync.WaitGroup
+	s        *Schedule
+	o        Options
+	dir      string
+	began    time.Time
+	mu       sync.Mutex
+	history  []Event
+	routers  []*router
+	engines  []*engine                   // by place; one that is replaced keeps its place
+	members  []*member                   // of the control group
+	versions map[uint64]*version.Version // that it has written
+	born     int
+	sources  sync.Map // address of a connection's near end, as an engine sees it: the router
+	tries    sync.WaitGroup
 }
 
 // Play plays a schedule and returns its history, in order of time. Everything that it starts has ended when it returns.
@@ -74,7 +78,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	f := &field{s: s, o: o, dir: o.Dir}
+	f := &field{s: s, o: o, dir: o.Dir, versions: map[uint64]*version.Version{}}
 	if f.dir == "" {
 		dir, err := os.MkdirTemp("", "bankledge-lab")
 		if err != nil {
@@ -93,6 +97,7 @@
 	}
 	g, all := errgroup.WithContext(ctx)
 	g.Go(func() error { return f.traffic(all, ctx) })
+	g.Go(func() error { return f.operate(all) })
 	for _, x := range s.Faults {
 		g.Go(func() error { return f.befall(all, x) })
 	}
@@ -101,13 +106,26 @@
 		go f.progress(stop, shown)
 		defer func() { close(stop); <-shown }()
 	}
-	if err := g.Wait(); err != nil {
+	watching, enough := context.WithCancel(ctx)
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		f.watch(watching)
+	}()
+	err := g.Wait()
+	enough()
+	<-watched
+	if err != nil {
 		return nil, err
 	}
 	f.tries.Wait()
+	h := &History{Schedule: s}
+	if err := f.keepVersions(h); err != nil {
+		return nil, err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	h := &History{Schedule: s, Events: f.history}
+	h.Events = f.history
 	h.Sort()
 	return h, nil
 }
@@ -140,6 +158,9 @@
 	for i := range f.s.Engines {
 		f.engines = append(f.engines, f.newEngine(i, standin.Coldness{}))
 	}
+	if err := f.startGroup(ctx); err != nil {
+		return err
+	}
 	var g errgroup.Group
 	for i := range f.s.Routers {
 		r, err := f.newRouter(i)
@@ -165,6 +186,9 @@
 	for _, e := range f.engines {
 		e.model.Close()
 	}
+	for _, m := range f.members {
+		m.close()
+	}
 }
 
 // ---- Engines ----
@@ -331,6 +355,9 @@
 		}
 		return g.Wait()
 	}
+	if faultKinds[x.Kind].members {
+		return f.beginGroup(ctx, x)
+	}
 	switch x.Kind {
 	case "reset":
 		f.links(x, (*Link).Reset)
--- /dev/null
+++ b/internal/lab/group.go
@@ -0,0 +1,426 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"syscall"
+
+	"bankledge/internal/agree"
+	"bankledge/internal/control"
+	"bankledge/internal/rules"
+)
+
+// member is a process of the control group, with the links that lead to it: one from each other process, one from each router.
+type member struct {
+	f            *field
+	n            int
+	peer, client string // where it listens
+	peers        []*Link
+	routers      []*Link
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	starts int
+	lost   bool
+}
+
+// freeAddress is one on loopback that nobody listens on just now.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// startGroup starts the processes of the control group.
+func (f *field) startGroup(ctx context.Context) error {
+	for i := range f.s.Control {
+		m := &member{f: f, n: i}
+		var err error
+		if m.peer, err = freeAddress(); err != nil {
+			return err
+		}
+		if m.client, err = freeAddress(); err != nil {
+			return err
+		}
+		for j := range max(f.s.Control, f.s.Routers) {
+			if j < f.s.Control {
+				l, err := NewLink(m.peer)
+				if err != nil {
+					return err
+				}
+				m.peers = append(m.peers, l)
+			}
+			if j < f.s.Routers {
+				l, err := NewLink(m.client)
+				if err != nil {
+					return err
+				}
+				m.routers = append(m.routers, l)
+			}
+		}
+		f.members = append(f.members, m)
+	}
+	for _, m := range f.members {
+		if err := m.start(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Spans of a play with a control group: shorter than usual, so that it takes seconds.
+var GroupSpans = agree.Spans{Term: time.Second, Renew: 200 * time.Millisecond, Answer: 200 * time.Millisecond, Drift: 0.01, Batch: 50 * time.Millisecond, Pause: 50 * time.Millisecond}
+
+// start starts the process: it finds the others by links of its own.
+func (m *member) start(ctx context.Context) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.lost {
+		return nil
+	}
+	members := map[string]control.Member{}
+	for _, o := range m.f.members {
+		at := control.Member{Peer: o.peer, Client: o.client}
+		if o != m {
+			at.Peer = o.peers[m.n].Address()
+		}
+		members[strconv.Itoa(o.n+1)] = at
+	}
+	s := GroupSpans
+	file := filepath.Join(m.f.dir, fmt.Sprintf("member-%d.json", m.n))
+	raw, err := json.Marshal(control.Settings{ID: uint64(m.n + 1), Dir: fmt.Sprintf("member-%d", m.n), Members: members, Term: s.Term.Milliseconds(), Renew: s.Renew.Milliseconds(),
+		Answer: s.Answer.Milliseconds(), Batch: s.Batch.Milliseconds(), Pause: s.Pause.Milliseconds(), Drift: &s.Drift, Heartbeat: 50, Election: 400, MostGone: 1, Compact: 50})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		return err
+	}
+	m.starts++
+	log, err := os.Create(filepath.Join(m.f.dir, fmt.Sprintf("member-%d-%d.log", m.n, m.starts)))
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(m.f.o.Control, "serve", file)
+	pipe, err := cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended, serving := make(chan struct{}), make(chan struct{})
+	m.cmd, m.ended = cmd, ended
+	go func() {
+		defer close(ended)
+		defer log.Close()
+		said := false
+		for lines := bufio.NewScanner(pipe); lines.Scan(); {
+			log.Write(append(lines.Bytes(), '\n'))
+			var line struct{ Msg string }
+			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "serving" && !said {
+				said = true
+				close(serving)
+			}
+		}
+		cmd.Wait()
+	}()
+	select {
+	case <-serving:
+		return nil
+	case <-ended:
+		return fmt.Errorf("process %d of the group does not start: see %s", m.n, log.Name())
+	case <-time.After(readyIn):
+		return fmt.Errorf("process %d of the group does not serve within %v", m.n, readyIn)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (m *member) signal(s syscall.Signal) error {
+	m.mu.Lock()
+	cmd := m.cmd
+	m.mu.Unlock()
+	if err := cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	return nil
+}
+
+// kill kills the process, and waits until it has ended.
+func (m *member) kill() error {
+	err := m.signal(syscall.SIGKILL)
+	m.mu.Lock()
+	ended := m.ended
+	m.mu.Unlock()
+	<-ended
+	return err
+}
+
+func (m *member) close() {
+	if m.cmd != nil {
+		m.kill()
+	}
+	for _, l := range append(append([]*Link{}, m.peers...), m.routers...) {
+		l.Close()
+	}
+}
+
+// leader is the place of the process that can prove that it leads; -1: none can just now.
+func (f *field) leader() int {
+	for _, m := range f.members {
+		if s, err := control.NewClient([]string{m.client}, 300*time.Millisecond).Status(); err == nil && s.Leads {
+			return m.n
+		}
+	}
+	return -1
+}
+
+// named are the members that a fault names.
+func (f *field) named(x Fault) (list []*member) {
+	for _, n := range x.Members {
+		if n < 0 {
+			if n = f.leader(); n < 0 {
+				continue
+			}
+		}
+		list = append(list, f.members[n])
+	}
+	return list
+}
+
+// beginGroup has a fault of the control group begin; what it returns ends it.
+func (f *field) beginGroup(ctx context.Context, x Fault) (mend func() error, err error) {
+	members := f.named(x)
+	cut := Way{Cut: true}
+	ways := map[string][2]Way{"group-cut": {cut, cut}, "group-cut-there": {cut, {}}, "group-cut-back": {{}, cut}, "group-delay": {{}, {Delay: seconds(x.Amount)}}}
+	links := func(do func(*Link)) {
+		for _, m := range members {
+			for _, r := range x.Routers {
+				do(m.routers[r])
+			}
+		}
+	}
+	if w, ok := ways[x.Kind]; ok {
+		links(func(l *Link) { l.Set(w[0], w[1]) })
+		return func() error { links(func(l *Link) { l.Set(Way{}, Way{}) }); return nil }, nil
+	}
+	each := func(do func(*member) error) (err error) {
+		for _, m := range members {
+			err = errors.Join(err, do(m))
+		}
+		return err
+	}
+	apart := func(w Way) func() error {
+		return func() error {
+			for _, m := range members {
+				for _, o := range f.members {
+					if !slices.Contains(members, o) {
+						m.peers[o.n].Set(w, w)
+						o.peers[m.n].Set(w, w)
+					}
+				}
+			}
+			return nil
+		}
+	}
+	switch x.Kind {
+	case "group-reset":
+		links((*Link).Reset)
+	case "apart":
+		return apart(Way{}), apart(cut)()
+	case "member-kill":
+		return func() error { return each(func(m *member) error { return m.start(ctx) }) }, each((*member).kill)
+	case "member-lose":
+		return nil, each(func(m *member) error { m.lost = true; return m.kill() })
+	case "member-stop":
+		return func() error { return each(func(m *member) error { return m.signal(syscall.SIGCONT) }) },
+			each(func(m *member) error { return m.signal(syscall.SIGSTOP) })
+	}
+	return nil, nil
+}
+
+// ---- Operators ----
+
+// groupRules are what operators begin with: looser than the routers' own.
+func groupRules(f *field) *rules.Rules {
+	r := &rules.Rules{Routers: f.s.Routers, Importance: map[string]float64{}, OverImportance: 1, FurtherShare: 1, FurtherFree: 10, Probes: 2, ColdShare: coldness.Share,
+		ColdMultiple: coldness.Multiple, WarmAfter: coldness.Warm.Milliseconds(), DrainGrace: 1000}
+	for _, w := range workloads {
+		r.Importance[w.name] = w.importance
+		r.MayTurnAway = append(r.MayTurnAway, w.name)
+	}
+	return r
+}
+
+// operate proposes versions until three quarters of the play are over: each tightens something, loosens something, or does both.
+func (f *field) operate(ctx context.Context) error {
+	if f.s.Control == 0 || f.s.Every == 0 {
+		return nil
+	}
+	r, chance := groupRules(f), rand.New(rand.NewPCG(f.s.Seed, 31))
+	var addresses []string
+	for _, m := range f.members {
+		addresses = append(addresses, m.client)
+	}
+	var sent sync.WaitGroup
+	defer sent.Wait()
+	for n, at := 0, 0.0; at < f.s.Seconds*3/4; n++ {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Until(f.began.Add(seconds(at)))):
+		}
+		at += f.s.Every * (0.5 + chance.Float64())
+		if n > 0 {
+			changeRules(r, chance, n)
+		}
+		if err := r.Check(); err != nil {
+			return err
+		}
+		e := agree.Entry{Kind: agree.Propose, ID: fmt.Sprintf("p%d", n), Rules: r.Canonical(), Forced: []string{"floor"}}
+		due := time.Since(f.began)
+		send := func() {
+			o, err := control.NewClient(addresses, 15*time.Second).Propose(e)
+			if err == nil {
+				f.note(Event{At: due, What: Wanted, Router: -1, Statement: e.ID, Version: o.Number})
+				f.note(Event{What: Written, Router: -1, Statement: e.ID, Version: o.Number})
+			}
+		}
+		if n == 0 { // all that follow change it
+			send()
+		} else {
+			sent.Go(send)
+		}
+	}
+	return nil
+}
+
+func changeRules(r *rules.Rules, chance *rand.Rand, n int) {
+	scale := []float64{0.8, 1.25}[chance.IntN(2)]
+	switch chance.IntN(4) {
+	case 0:
+		r.ColdMultiple = min(8, max(2, r.ColdMultiple*scale))
+	case 1:
+		r.Probes = min(4, max(1, r.Probes*scale))
+	case 2:
+		r.FurtherShare = min(2, max(0.5, r.FurtherShare*scale))
+		r.ColdShare = min(0.31, max(0.1, r.ColdShare/scale))
+	case 3:
+		r.Importance["lookup"] = min(3, max(0.5, r.Importance["lookup"]*scale))
+	}
+	r.FurtherFree = 10 + float64(n%2) // never the same as the one before
+}
+
+// watch takes down, as it comes, what the group has written, for the auditors: the group itself keeps the last ones only.
+func (f *field) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, m := range f.members {
+			if list, err := control.NewClient([]string{m.client}, 200*time.Millisecond).Versions(); err == nil {
+				f.mu.Lock()
+				for _, v := range list.Versions {
+					f.versions[v.Number] = v
+				}
+				f.mu.Unlock()
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+}
+
+// keepVersions takes down what the group has written by the end.
+func (f *field) keepVersions(h *History) error {
+	if f.s.Control == 0 {
+		return nil
+	}
+	var addresses []string
+	for _, m := range f.members {
+		if !m.lost {
+			addresses = append(addresses, m.client)
+		}
+	}
+	list, err := control.NewClient(addresses, 5*time.Second).Versions()
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range list.Versions {
+		if old := f.versions[v.Number]; old != nil && old.Hash != v.Hash {
+			return fmt.Errorf("two versions %d were seen", v.Number)
+		}
+		f.versions[v.Number] = v
+	}
+	for _, n := range slices.Sorted(maps.Keys(f.versions)) {
+		h.Versions = append(h.Versions, f.versions[n])
+	}
+	return nil
+}
+
+// acts notes what a router says that it acts on.
+func (r *router) acts(line []byte) {
+	var l struct {
+		Msg              string
+		TS               time.Time
+		Term             bool
+		Settled, Pending uint64
+	}
+	if json.Unmarshal(line, &l) != nil || l.Msg != "rules" {
+		return
+	}
+	at := l.TS.Sub(r.f.began.Round(0)) // both by the machine's clock
+	r.f.note(Event{At: max(at, 1), What: Acts, Router: r.n, Term: l.Term, Settled: l.Settled, Version: l.Pending})
+}
+
+// DrawGroup makes a schedule of a control group's troubles from a seed: five routers, a group of three (one in four: of one or five), a
+// version each so often, one to four faults, over by three quarters of the time.
+func DrawGroup(seed uint64, length float64) *Schedule {
+	r := rand.New(rand.NewPCG(seed, 30))
+	s := &Schedule{Name: fmt.Sprintf("group seed %d", seed), Seed: seed, Routers: 5, Engines: 2, Seconds: length, Load: 0.15, Busiest: 1, Control: 3}
+	if seed%4 == 0 {
+		s.Control = []int{1, 5}[r.IntN(2)]
+	}
+	s.Every = []float64{0.05, 0.4, 1.2}[r.IntN(3)]
+	kinds := []string{"group-cut", "group-cut-there", "group-cut-back", "group-delay", "group-reset", "apart", "member-kill", "member-stop", "member-stop", "kill", "stop", "stop"}
+	for range 1 + r.IntN(4) {
+		f := Fault{Kind: kinds[r.IntN(len(kinds))], At: (0.15 + 0.35*r.Float64()) * length, Amount: 0.05 + r.Float64()}
+		k := faultKinds[f.Kind]
+		if k.span {
+			f.For = (0.03 + 0.22*r.Float64()) * length
+		}
+		if k.routers {
+			f.Routers = some(r, s.Routers, 1+r.IntN(s.Routers-1))
+		}
+		if k.members {
+			f.Members = some(r, s.Control, 1+r.IntN(max(1, s.Control-1)))
+			if r.IntN(3) == 0 {
+				f.Members = []int{-1}
+			}
+		}
+		s.Faults = append(s.Faults, f)
+	}
+	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return int(1e6 * (a.At - b.At)) })
+	return s
+}
--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -5,6 +5,8 @@
 	"os"
 	"slices"
 	"time"
+
+	"bankledge/internal/version"
 )
 
 // Event is one line of a history: what happened where, by one clock, from the start of the traffic.
@@ -21,6 +23,9 @@
 	Budget    time.Duration `json:"budget,omitempty"` // of a sent statement: how long its client waits
 	Try       int           `json:"try,omitempty"`    // of a sent statement: how many came before it, as rejected ones
 	Text      string        `json:"text,omitempty"`
+	Version   uint64        `json:"version,omitempty"` // of an act: the newer one that is known and not in force
+	Settled   uint64        `json:"settled,omitempty"` // of an act: the one in force
+	Term      bool          `json:"term,omitempty"`    // of an act: a term runs
 }
 
 // What is a kind of event.
@@ -45,12 +50,16 @@
 	Mended   What = "mended"   // and ends
 	Down     What = "down"     // a router's process is stopped, told to end, or gone
 	Up       What = "up"       // it serves again
+	Acts     What = "acts"     // a router acts on other rules from here on
+	Wanted   What = "wanted"   // a version was proposed, which got its number later
+	Written  What = "written"  // and the number was told
 )
 
 // History is what one play of a schedule left.
 type History struct {
 	Schedule *Schedule
 	Events   []Event // in order of time
+	Versions []*version.Version
 }
 
 // Sort orders the events by time.
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"bankledge/internal/standin"
+	"bankledge/internal/steer"
 )
 
 // router is a process of the real router, with all links that lead to and from it.
@@ -118,6 +119,13 @@
 	}
 	cmd := exec.Command(r.f.o.Program, "serve")
 	cmd.Env = append(os.Environ(), "LB_CONFIG="+file, "GOMAXPROCS=1")
+	if len(r.f.members) > 0 {
+		control, err := r.controlFile()
+		if err != nil {
+			return err
+		}
+		cmd.Env = append(cmd.Env, "LB_CONTROL="+control)
+	}
 	for k, v := range r.f.o.Env {
 		cmd.Env = append(cmd.Env, k+"="+v)
 	}
@@ -137,6 +145,7 @@
 		defer log.Close()
 		for lines := bufio.NewScanner(pipe); lines.Scan(); {
 			log.Write(append(lines.Bytes(), '\n'))
+			r.acts(lines.Bytes())
 			var line struct{ Msg, Listen string }
 			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "serving" {
 				address <- line.Listen
@@ -166,6 +175,22 @@
 	return nil
 }
 
+// controlFile writes where the control group is: by links of this router's own.
+func (r *router) controlFile() (string, error) {
+	s := GroupSpans
+	file := steer.File{Term: s.Term.Milliseconds(), Renew: s.Renew.Milliseconds(), Answer: s.Answer.Milliseconds(), Batch: s.Batch.Milliseconds(),
+		Pause: s.Pause.Milliseconds(), Drift: s.Drift, MostGone: 1}
+	for _, m := range r.f.members {
+		file.Addresses = append(file.Addresses, m.routers[r.n].Address())
+	}
+	raw, err := json.Marshal(file)
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(r.f.dir, fmt.Sprintf("control-%d.json", r.n))
+	return path, os.WriteFile(path, raw, 0o600)
+}
+
 // end kills the process, or tells it to end.
 func (r *router) end(kill bool) error {
 	sign, text := os.Signal(syscall.SIGTERM), "term"
--- a/internal/lab/schedule.go
+++ b/internal/lab/schedule.go
@@ -23,6 +23,8 @@
 	Tries   int     `json:"tries"` // further ones of a client whose statement was rejected
 	Says    int     `json:"says"`  // routers, as the settings have it; 0: as many as there are
 	Busiest float64 `json:"busiest"`
+	Control int     `json:"control"` // processes of a control group, 0: there is none
+	Every   float64 `json:"every"`   // seconds between two versions that are proposed
 	Faults  []Fault `json:"faults"`
 }
 
@@ -33,32 +35,43 @@
 	Kind    string  `json:"kind"`
 	Routers []int   `json:"routers,omitempty"`
 	Engines []int   `json:"engines,omitempty"`
+	Members []int   `json:"members,omitempty"` // processes of the control group; -1: the one that leads then
 	Amount  float64 `json:"amount,omitempty"`
 }
 
 // fault kinds: what each takes beside its time.
 var faultKinds = map[string]struct {
 	routers, engines bool // must be named
+	members          bool
 	amount           bool
 	span             bool
 	what             string
 }{
-	"cut":       {true, true, false, true, "links of routers to engines pass nothing, both ways"},
-	"cut-there": {true, true, false, true, "the same from routers to engines only"},
-	"cut-back":  {true, true, false, true, "the same from engines to routers only"},
-	"delay":     {true, true, true, true, "answers of engines to routers come so many seconds late"},
-	"slow":      {true, true, false, true, "answers of engines come a byte a tick"},
-	"reset":     {true, true, false, false, "all connections of routers to engines are reset"},
-	"deaf":      {false, true, false, true, "engines refuse new connections and run on"},
-	"feed":      {true, false, false, true, "the control feed passes nothing"},
-	"kill":      {true, false, false, true, "routers are killed, and started again after the time"},
-	"stop":      {true, false, false, true, "routers are stopped, and woken after the time"},
-	"term":      {true, false, false, true, "routers end by SIGTERM, and are started again after the time"},
-	"replace":   {false, true, false, true, "engines drain, leave after the time, and new cold ones take their place"},
-	"lose":      {false, true, false, true, "engines die, and come back cold under new ids after the time"},
-	"crawl":     {false, true, true, true, "engines take so many times as long"},
-	"err":       {false, true, false, true, "engines end all with an error"},
-	"rush":      {false, false, true, true, "so many times the traffic"},
+	"cut":             {true, true, false, false, true, "links of routers to engines pass nothing, both ways"},
+	"cut-there":       {true, true, false, false, true, "the same from routers to engines only"},
+	"cut-back":        {true, true, false, false, true, "the same from engines to routers only"},
+	"delay":           {true, true, false, true, true, "answers of engines to routers come so many seconds late"},
+	"slow":            {true, true, false, false, true, "answers of engines come a byte a tick"},
+	"reset":           {true, true, false, false, false, "all connections of routers to engines are reset"},
+	"deaf":            {false, true, false, false, true, "engines refuse new connections and run on"},
+	"feed":            {true, false, false, false, true, "the control feed passes nothing"},
+	"kill":            {true, false, false, false, true, "routers are killed, and started again after the time"},
+	"stop":            {true, false, false, false, true, "routers are stopped, and woken after the time"},
+	"term":            {true, false, false, false, true, "routers end by SIGTERM, and are started again after the time"},
+	"replace":         {false, true, false, false, true, "engines drain, leave after the time, and new cold ones take their place"},
+	"lose":            {false, true, false, false, true, "engines die, and come back cold under new ids after the time"},
+	"crawl":           {false, true, false, true, true, "engines take so many times as long"},
+	"err":             {false, true, false, false, true, "engines end all with an error"},
+	"group-cut":       {true, false, true, false, true, "links of routers to processes of the control group pass nothing, both ways"},
+	"group-cut-there": {true, false, true, false, true, "the same from routers to the group only"},
+	"group-cut-back":  {true, false, true, false, true, "the same from the group to routers only"},
+	"group-delay":     {true, false, true, true, true, "what the group says to routers comes so many seconds late"},
+	"group-reset":     {true, false, true, false, false, "all connections of routers to the group are reset"},
+	"apart":           {false, false, true, false, true, "processes of the group are cut off from the others"},
+	"member-kill":     {false, false, true, false, true, "processes of the group are killed, and started again after the time"},
+	"member-stop":     {false, false, true, false, true, "processes of the group are stopped, and woken after the time"},
+	"member-lose":     {false, false, true, false, false, "processes of the group are killed, and never come back"},
+	"rush":            {false, false, false, true, true, "so many times the traffic"},
 }
 
 // Kinds lists the kinds of faults and what they do.
@@ -79,7 +92,7 @@
 		value      float64
 		least, top float64
 	}{{"routers", float64(s.Routers), 1, mostProcesses}, {"engines", float64(s.Engines), 1, mostProcesses}, {"seconds", s.Seconds, 1, mostSeconds},
-		{"load", s.Load, 0.01, 10}, {"tries", float64(s.Tries), 0, 10}, {"says", float64(s.Says), 0, 1e6}, {"busiest", s.Busiest, 0, 100}} {
+		{"load", s.Load, 0.01, 10}, {"tries", float64(s.Tries), 0, 10}, {"says", float64(s.Says), 0, 1e6}, {"control", float64(s.Control), 0, 7}, {"every", s.Every, 0, mostSeconds}, {"busiest", s.Busiest, 0, 100}} {
 		if !(f.value >= f.least && f.value <= f.top) {
 			return fmt.Errorf("%s: %v is not from %v to %v", f.name, f.value, f.least, f.top)
 		}
@@ -100,6 +113,10 @@
 			return fmt.Errorf("%s.amount: %v is not above 0 and up to 100", at, f.Amount)
 		case k.routers && len(f.Routers) == 0:
 			return fmt.Errorf("%s.routers: none", at)
+		case k.members && len(f.Members) == 0:
+			return fmt.Errorf("%s.members: none", at)
+		case slices.ContainsFunc(f.Members, func(m int) bool { return m < -1 || m >= s.Control }):
+			return fmt.Errorf("%s.members: one is not from 0 to %d, nor -1", at, s.Control-1)
 		case k.engines && len(f.Engines) == 0:
 			return fmt.Errorf("%s.engines: none", at)
 		case slices.ContainsFunc(f.Routers, func(r int) bool { return r < 0 || r >= s.Routers }):
--- a/internal/seat/seat.go
+++ b/internal/seat/seat.go
@@ -181,6 +181,12 @@
 		return err
 	}
 	t.members = k.Members
+	for id, own := range t.Founded { // where a process finds those that its own settings name is its own matter
+		if m, is := t.members[id]; is {
+			m.Peer, m.Client = own.Peer, own.Client
+			t.members[id] = m
+		}
+	}
 	return nil
 }
 
