--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,226 @@
+package control
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"bankledge/internal/agree"
+	"bankledge/internal/consensus"
+	"bankledge/internal/consensus/store"
+	"bankledge/internal/rules"
+	"bankledge/internal/steer"
+)
+
+// alone are the settings of one process alone, on free addresses.
+func alone(t *testing.T, dir string) *Settings {
+	path := filepath.Join(t.TempDir(), "alone.jsonnet")
+	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `{id: 1, dir: %q, peer: '127.0.0.1:0', client: '127.0.0.1:0', term_ms: 400, renew_ms: 60, answer_ms: 60, batch_ms: 10, pause_ms: 10, heartbeat_ms: 10, election_ms: 50}`, dir), 0o600))
+	s, err := Load(path)
+	require.NoError(t, err)
+	return s
+}
+
+type running struct {
+	*Server
+	t    *testing.T
+	stop context.CancelFunc
+	end  chan error
+	once bool
+}
+
+func serve(t *testing.T, s *Settings, wrap func(Disk) Disk) *running {
+	disk, err := store.Open(s.Dir, s.ID)
+	require.NoError(t, err)
+	v, err := NewOn(s, wrap(disk), zap.NewNop())
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Server: v, t: t, stop: cancel, end: make(chan error, 1)}
+	go func() { r.end <- v.Run(ctx) }()
+	t.Cleanup(func() { r.close() })
+	<-v.Ready
+	return r
+}
+
+func (r *running) close() error {
+	if r.once {
+		return nil
+	}
+	r.once = true
+	r.stop()
+	return <-r.end
+}
+
+func (r *running) client() *Client {
+	return NewClient([]string{r.listen.Addr().String()}, 10*time.Second)
+}
+
+func plain(d Disk) Disk { return d }
+
+func aRule(multiple float64) json.RawMessage {
+	r := &rules.Rules{Routers: 2, ColdMultiple: multiple}
+	if err := r.Check(); err != nil {
+		panic(err)
+	}
+	return r.Canonical()
+}
+
+// One process alone: versions, a stream that goes on from where it was, terms, a restart that has all, and nothing left running.
+func TestOneProcess(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	dir := t.TempDir()
+	r := serve(t, alone(t, dir), plain)
+	c := r.client()
+	o, err := c.Propose(agree.Entry{Kind: agree.Propose, ID: "a", Rules: aRule(2)})
+	require.NoError(t, err)
+	require.NoError(t, c.AwaitSettled(o.Number))
+	o, err = c.Propose(agree.Entry{Kind: agree.Propose, ID: "a", Rules: aRule(2)})
+	require.NoError(t, err)
+	assert.Equal(t, uint64(1), o.Number, "asked twice, counted once")
+	_, err = c.Propose(agree.Entry{Kind: agree.Propose, ID: "b", Rules: aRule(1)})
+	assert.ErrorContains(t, err, "floor")
+
+	news := follow(t, r, 0)
+	first := <-news
+	require.NotNil(t, first.Version)
+	_, err = c.Propose(agree.Entry{Kind: agree.Propose, ID: "c", Rules: aRule(3)})
+	require.NoError(t, err)
+	second := <-news
+	assert.Equal(t, uint64(2), second.Version.Number)
+	for n := second; n.Settled < 2; { // it is in force at once here, since no router has a term
+		n = <-news
+	}
+	s, err := c.Status()
+	require.NoError(t, err)
+	assert.True(t, s.Leads)
+	require.NoError(t, r.close())
+
+	r = serve(t, alone(t, dir), plain)
+	c = r.client()
+	require.Eventually(t, func() bool { s, err := c.Status(); return err == nil && s.Leads }, 10*time.Second, 10*time.Millisecond)
+	list, err := c.Versions()
+	require.NoError(t, err)
+	assert.Len(t, list.Versions, 2)
+	assert.Equal(t, s.Lineage, list.Lineage)
+	last := <-follow(t, r, 1)
+	assert.Equal(t, uint64(2), last.Version.Number, "who knows the first one gets the second")
+	require.NoError(t, r.close())
+}
+
+// follow follows the versions after a number.
+func follow(t *testing.T, r *running, after uint64) chan News {
+	ask, err := http.NewRequestWithContext(t.Context(), "GET", "http://"+r.listen.Addr().String()+"/v1/versions/events", nil)
+	require.NoError(t, err)
+	ask.Header.Set("Last-Event-ID", fmt.Sprint(after))
+	said, err := http.DefaultClient.Do(ask)
+	require.NoError(t, err)
+	news := make(chan News, 100)
+	t.Cleanup(func() { said.Body.Close() })
+	go func() {
+		defer close(news)
+		for lines := bufio.NewScanner(said.Body); lines.Scan(); {
+			if data, is := bytes.CutPrefix(lines.Bytes(), []byte("data: ")); is {
+				var n News
+				if json.Unmarshal(data, &n) == nil {
+					news <- n
+				}
+			}
+		}
+	}()
+	return news
+}
+
+// failing is a disk that fails from some time on.
+type failing struct {
+	Disk
+	fails atomic.Bool
+}
+
+func (f *failing) Save(s consensus.State) error {
+	if f.fails.Load() {
+		return errors.New("no space left on device")
+	}
+	return f.Disk.Save(s)
+}
+
+// A process whose disk fails says so and serves no more: what it could not keep is acknowledged to nobody.
+func TestDiskFails(t *testing.T) {
+	disk := &failing{}
+	r := serve(t, alone(t, t.TempDir()), func(d Disk) Disk { disk.Disk = d; return disk })
+	c := r.client()
+	_, err := c.Propose(agree.Entry{Kind: agree.Propose, ID: "a", Rules: aRule(2)})
+	require.NoError(t, err)
+	disk.fails.Store(true)
+	c.within = 300 * time.Millisecond
+	_, err = c.Propose(agree.Entry{Kind: agree.Propose, ID: "b", Rules: aRule(3)})
+	assert.Error(t, err)
+	assert.ErrorContains(t, <-r.end, "no space left")
+	r.once = true
+}
+
+func TestUnfitCalls(t *testing.T) {
+	r := serve(t, alone(t, t.TempDir()), plain)
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"POST", "/v1/term", "{", 400}, {"POST", "/v1/term", `{"unheard": 1}`, 400}, {"POST", "/v1/term", strings.Repeat(" ", mostRenewal+1), 400},
+		{"POST", "/v1/proposals", `{"kind": "settle", "id": "x", "number": 9}`, 409}, {"POST", "/v1/proposals", `[]`, 400}, {"GET", "/v1/none", "", 404},
+		{"POST", "/v1/members", `{"id": 1}`, 409}, {"DELETE", "/v1/status", "", 405}, {"POST", "/v1/members", `{"id": 9, "remove": true}`, 409},
+	} {
+		require.Eventually(t, func() bool { s, err := r.client().Status(); return err == nil && s.Leads }, 10*time.Second, 10*time.Millisecond)
+		ask, err := http.NewRequest(c.method, "http://"+r.listen.Addr().String()+c.path, strings.NewReader(c.body))
+		require.NoError(t, err)
+		said, err := http.DefaultClient.Do(ask)
+		require.NoError(t, err)
+		io.Copy(io.Discard, said.Body)
+		said.Body.Close()
+		assert.Equal(t, c.status, said.StatusCode, "%s %s", c.path, c.body[:min(40, len(c.body))])
+	}
+	for _, raw := range [][]byte{{0xff}, {5, 1, 2}, {2, 0xff, 0xff}, bytes.Repeat([]byte{0x80}, 20)} {
+		_, err := messages(bytes.NewReader(raw))
+		assert.Error(t, err)
+	}
+	ask, err := http.NewRequest("POST", "http://"+r.between.Addr().String()+"/v1/messages", nil)
+	require.NoError(t, err)
+	ask.Header.Set(lineageHead, "another")
+	said, err := http.DefaultClient.Do(ask)
+	require.NoError(t, err)
+	said.Body.Close()
+	assert.Equal(t, http.StatusConflict, said.StatusCode, "another group's process")
+}
+
+func TestSettings(t *testing.T) {
+	for text, says := range map[string]string{
+		`{id: 0, members: {'1': {peer: 'a', client: 'b'}}}`: "id: missing", `{id: 1, dir: 'd', peer: 'x'}`: "not an address",
+		`{id: 2, dir: 'd', members: {'1': {peer: '127.0.0.1:1', client: '127.0.0.1:2'}}}`: "none of them", `{id: 1, dir: ''}`: "dir: missing",
+		`{id: 1, dir: 'd', members: {'x': {peer: '127.0.0.1:1', client: '127.0.0.1:2'}}}`: "no id", `{id: 1, unheard: 1}`: "unheard",
+		`{id: 1, dir: 'd', members: {'1': {peer: '127.0.0.1:1', client: '127.0.0.1:1'}}}`: "has it, too", `{id: 1, dir: 'd', term_ms: 200}`: "spans: renew",
+		`{id: 1, dir: 'd', drift: 0.5}`: "drift", `{id: 1, dir: 'd', most_gone: 2}`: "most_gone", `{id: 1, dir: 'd', election_ms: 100}`: "election", `{`: "settings",
+	} {
+		path := filepath.Join(t.TempDir(), "s.jsonnet")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		_, err := Load(path)
+		assert.ErrorContains(t, err, says, text)
+	}
+	s, err := Load("")
+	require.NoError(t, err)
+	assert.Equal(t, uint64(1), s.ID)
+	assert.Equal(t, s.Spans(), (&steer.File{}).Spans(), "both sides have the same usual spans")
+}
