The control service's programs tried as operators do: members, disks that are full or changed

A changed file was taken for a torn tail and served until the group's leader made the log's library panic (exit code 2): Pebble now writes the sync offsets that tell the two apart, and a panic of the log ends the process as damaged.

--- /dev/null
+++ b/cmd/bankledge-control/main_test.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bankledge/internal/control"
+)
+
+// bed has the built program, a folder, and processes that it started.
+type bed struct {
+	t       *testing.T
+	dir     string
+	program string
+	members map[string]control.Member
+	procs   map[int]*exec.Cmd
+	logs    map[int]*bytes.Buffer
+}
+
+func newBed(t *testing.T, members int) *bed {
+	b := &bed{t: t, dir: t.TempDir(), members: map[string]control.Member{}, procs: map[int]*exec.Cmd{}, logs: map[int]*bytes.Buffer{}}
+	b.program = filepath.Join(b.dir, "bankledge-control")
+	out, err := exec.Command("go", "build", "-o", b.program, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	for i := range members {
+		b.members[fmt.Sprint(i+1)] = control.Member{Peer: free(t), Client: free(t)}
+	}
+	t.Cleanup(func() {
+		for _, cmd := range b.procs {
+			cmd.Process.Kill()
+			cmd.Wait()
+		}
+	})
+	return b
+}
+
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (b *bed) settings(id int, joins bool) string {
+	s := control.Settings{ID: uint64(id), Dir: fmt.Sprint("d", id), Members: b.members, Joins: joins, Term: 400, Renew: 60, Answer: 60, Batch: 10, Pause: 10, Heartbeat: 20, Election: 150, MostGone: 0.5, Compact: 20}
+	if joins {
+		others := map[string]control.Member{}
+		for k, m := range b.members {
+			if k != fmt.Sprint(id) {
+				others[k] = m
+			}
+		}
+		s.Members, s.Peer, s.Client = others, b.members[fmt.Sprint(id)].Peer, b.members[fmt.Sprint(id)].Client
+	}
+	raw, err := json.Marshal(s)
+	require.NoError(b.t, err)
+	path := filepath.Join(b.dir, fmt.Sprintf("s%d.json", id))
+	require.NoError(b.t, os.WriteFile(path, raw, 0o600))
+	return path
+}
+
+// start starts a process, by a shell that first does what it is told.
+func (b *bed) start(id int, joins bool, before string) *exec.Cmd {
+	cmd := exec.Command("sh", "-c", before+` exec "$0" serve "$1"`, b.program, b.settings(id, joins))
+	b.logs[id] = &bytes.Buffer{}
+	cmd.Stderr = b.logs[id]
+	require.NoError(b.t, cmd.Start())
+	b.procs[id] = cmd
+	return cmd
+}
+
+func (b *bed) end(id int, s syscall.Signal) error {
+	cmd := b.procs[id]
+	delete(b.procs, id)
+	require.NoError(b.t, cmd.Process.Signal(s))
+	return cmd.Wait()
+}
+
+// gone waits until a process has ended by itself, and returns its exit code.
+func (b *bed) gone(id int) int {
+	cmd := b.procs[id]
+	late := time.AfterFunc(20*time.Second, func() { cmd.Process.Kill() })
+	defer late.Stop()
+	delete(b.procs, id)
+	cmd.Wait()
+	return cmd.ProcessState.ExitCode()
+}
+
+// run runs a command against all members, and returns what it wrote.
+func (b *bed) run(code int, args ...string) string {
+	var at []string
+	for _, m := range b.members {
+		at = append(at, m.Client)
+	}
+	cmd := exec.Command(b.program, args...)
+	cmd.Env = append(os.Environ(), "BANKLEDGE_CONTROL="+strings.Join(at, ","))
+	out, err := cmd.CombinedOutput()
+	if code == 0 {
+		assert.NoError(b.t, err, "%v: %s", args, out)
+	} else if exit := (&exec.ExitError{}); assert.ErrorAs(b.t, err, &exit, "%v: %s", args, out) {
+		assert.Equal(b.t, code, exit.ExitCode(), "%v: %s", args, out)
+	}
+	return string(out)
+}
+
+func (b *bed) rules(name, more string) string {
+	path := filepath.Join(b.dir, name)
+	require.NoError(b.t, os.WriteFile(path, []byte(`{routers: 2, cold_multiple: 2, engines: {a: {phase: 'active', address: 'h:1'}, b: {phase: 'active', address: 'h:2'}, c: {phase: 'active', address: 'h:3'}}} + {`+more+`}`), 0o600))
+	return path
+}
+
+func (b *bed) status() (s control.Status) {
+	out := b.run(0, "status", "--json")
+	require.NoError(b.t, json.Unmarshal([]byte(out), &s), out)
+	return s
+}
+
+func (b *bed) until(what func(control.Status) bool) {
+	require.Eventually(b.t, func() bool { return what(b.status()) }, 30*time.Second, 20*time.Millisecond)
+}
+
+// A new user: one process, versions, guards, a rollback; three, one of which is killed, loses its disk and is replaced.
+func TestOperators(t *testing.T) {
+	b := newBed(t, 3)
+	for id := 1; id <= 3; id++ {
+		b.start(id, false, "")
+	}
+	b.until(func(s control.Status) bool { return s.Leads })
+	assert.Contains(t, b.run(0, "propose", b.rules("one", ""), "--note", "first", "--wait"), "version 1, in force")
+	assert.Contains(t, b.run(1, "propose", b.rules("none", "engines: {}")), "no engine is active")
+	assert.Contains(t, b.run(1, "propose", b.rules("less", "engines: {a: {phase: 'active', address: 'h:1'}}")), "share-of-engines")
+	assert.Contains(t, b.run(0, "propose", b.rules("less", "engines: {a: {phase: 'active', address: 'h:1'}}"), "--force", "share-of-engines", "--wait"), "version 2")
+	assert.Contains(t, b.run(0, "rollback", "1", "--wait"), "version 3")
+	assert.Contains(t, b.run(0, "diff", "1", "2"), "engines: tighter")
+	assert.Contains(t, b.run(0, "diff", "1", "3"), "nothing differs")
+	assert.Contains(t, b.run(0, "log"), "rollback to 1")
+	assert.Contains(t, b.run(1, "propose", b.rules("bad", "cold_share: 7")), "cold_share: 7")
+	assert.Contains(t, b.run(80, "propose"), "expected")
+
+	assert.Error(t, b.end(2, syscall.SIGKILL))
+	require.NoError(t, os.RemoveAll(filepath.Join(b.dir, "d2")))
+	assert.Contains(t, b.run(0, "propose", b.rules("two", "cold_multiple: 3"), "--wait"), "version 4")
+	b.run(0, "members", "remove", "2")
+	assert.Contains(t, b.run(1, "members", "remove", "2"), "no member")
+	delete(b.members, "2")
+	b.members["4"] = control.Member{Peer: free(t), Client: free(t)}
+	b.run(0, "members", "add", "4", b.members["4"].Peer, b.members["4"].Client)
+	b.start(4, true, "")
+	b.until(func(s control.Status) bool { return s.Members[4].Votes })
+	for i := range 30 { // past a snapshot
+		b.run(0, "propose", b.rules("more", fmt.Sprintf("cold_multiple: 3, further_free: %d", i+1)), "--wait")
+	}
+	assert.Error(t, b.end(1, syscall.SIGKILL)) // the group goes on by the new one
+	b.until(func(s control.Status) bool { return s.Leads })
+	assert.Contains(t, b.run(0, "propose", b.rules("last", "cold_multiple: 9"), "--wait"), "version 35")
+	b.start(1, false, "")
+	for _, id := range []int{3, 4} {
+		assert.NoError(t, b.end(id, syscall.SIGTERM))
+	}
+	b.start(3, false, "")
+	b.until(func(s control.Status) bool { return s.Leads && s.Newest == 35 && s.Settled == 35 })
+}
+
+// A process whose disk is full, or whose files were changed, serves no more and says why; the others go on.
+func TestDisks(t *testing.T) {
+	b := newBed(t, 3)
+	b.start(1, false, "")
+	b.start(2, false, "")
+	b.start(3, false, "ulimit -f 8;") // no file may grow beyond 4 KiB
+	b.until(func(s control.Status) bool { return s.Leads })
+	for i := range 40 {
+		b.run(0, "propose", b.rules("more", fmt.Sprintf("further_free: %d", i+1)), "--wait")
+	}
+	assert.Positive(t, b.gone(3), "it ends, and not as if nothing were")
+	assert.Contains(t, b.logs[3].String(), "log")
+	b.run(0, "propose", b.rules("more", "further_free: 99"), "--wait")
+	assert.Error(t, b.end(2, syscall.SIGKILL))
+	files, err := filepath.Glob(filepath.Join(b.dir, "d2", "log", "*.log"))
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	changed := false
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		require.NoError(t, err)
+		if len(raw) > 100 {
+			raw[len(raw)/3] ^= 0xff
+			require.NoError(t, os.WriteFile(file, raw, 0o600))
+			changed = true
+		}
+	}
+	require.True(t, changed)
+	b.start(2, false, "")
+	assert.Equal(t, 1, b.gone(2))
+	assert.Contains(t, b.logs[2].String(), "damaged")
+}
+
+func TestCheck(t *testing.T) {
+	b := newBed(t, 3)
+	out := b.run(0, "check", b.settings(1, false))
+	assert.Contains(t, out, "T = 420ms")
+	assert.Contains(t, out, "2 of 3 processes")
+	assert.Contains(t, b.run(1, "check", "no/such"), "settings")
+	assert.Contains(t, b.run(0, "--help"), "rollback")
+	assert.Contains(t, b.run(0, "router", "../../deploy/control.jsonnet"), `"term_ms": 2000`)
+	for _, file := range []string{"group", "control"} {
+		assert.FileExists(t, "../../deploy/"+file+".jsonnet")
+	}
+	assert.Contains(t, b.run(0, "check", "../../deploy/group.jsonnet"), "T = 2.1s")
+	r, err := fileRules("../../deploy/rules.jsonnet")
+	require.NoError(t, err)
+	assert.Nil(t, r.Engines)
+	assert.Contains(t, b.run(1, "status"), "does not answer")
+}
--- a/internal/consensus/store/store.go
+++ b/internal/consensus/store/store.go
@@ -46,7 +46,8 @@
 			return nil, fmt.Errorf("store: %w", err)
 		}
 	}
-	db, err := pebble.Open(filepath.Join(dir, "log"), &pebble.Options{FS: fs, Logger: quiet{}, MemTableSize: 4 << 20})
+	db, err := pebble.Open(filepath.Join(dir, "log"), &pebble.Options{FS: fs, Logger: quiet{}, MemTableSize: 4 << 20,
+		FormatMajorVersion: pebble.FormatNewest}) // with it, what was synced and is damaged is told from a tail that was not synced
 	switch {
 	case pebble.IsCorruptionError(err):
 		return nil, fmt.Errorf("store: %w: %w", ErrDamaged, err)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -11,6 +11,7 @@
 	"log"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -176,8 +177,15 @@
 	return nil
 }
 
-// run feeds the seat until ctx ends. It alone touches the seat and the disk.
-func (v *Server) run(ctx context.Context, do []seat.Action) error {
+// run feeds the seat until ctx ends. It alone touches the seat and the disk. The log's library breaks down when the group tells it of
+// what it has acknowledged and does not have: then its disk has lost what was synced, and it must not go on.
+func (v *Server) run(ctx context.Context, do []seat.Action) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			v.log.Error("the log broke down: this process serves no more", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+			err = fmt.Errorf("%w: %v", store.ErrDamaged, p)
+		}
+	}()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- /dev/null
+++ b/internal/lab/crowd.go
@@ -0,0 +1,310 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"bankledge/internal/agree"
+	"bankledge/internal/control"
+	"bankledge/internal/steer"
+	"bankledge/internal/version"
+)
+
+// Crowd is a measurement of the control service: a group of real processes, and router sides that are as the router's, with its link, many
+// to a process.
+type Crowd struct {
+	Control string // program
+	Members int
+	Routers int
+	Seconds float64 // of each part
+	Every   time.Duration
+	Dir     string
+}
+
+// CrowdFigures is what came of it.
+type CrowdFigures struct {
+	Routers        int           `json:"routers"`
+	Versions       int           `json:"versions"`
+	WrittenP50     time.Duration `json:"written_p50_ns"` // from propose to its number
+	WrittenP99     time.Duration `json:"written_p99_ns"`
+	ActsP50        time.Duration `json:"acts_p50_ns"` // from propose until a router acts on it in force, each router
+	ActsP99        time.Duration `json:"acts_p99_ns"`
+	AllP50         time.Duration `json:"all_p50_ns"` // until the last router does
+	AllP99         time.Duration `json:"all_p99_ns"`
+	IdleCPU        float64       `json:"idle_cpu"` // seconds a second, of the leader
+	BusyCPU        float64       `json:"busy_cpu"` // with a version each so often
+	ResidentMB     float64       `json:"resident_mb"`
+	IdleBytes      float64       `json:"idle_bytes"` // a second and router, both ways
+	BusyBytes      float64       `json:"busy_bytes"`
+	Outage         time.Duration `json:"outage_ns"` // of proposals, when the leader is killed
+	Back           time.Duration `json:"back_ns"`   // until all have a term again, when all processes are started anew
+	TermsMeanwhile float64       `json:"terms_meanwhile"`
+}
+
+// crowdRouter is one router's side.
+type crowdRouter struct {
+	mu     sync.Mutex
+	core   *agree.Router
+	link   *steer.Link
+	ground agree.Ground
+	acts   map[uint64]time.Time // since when it acts on a version in force
+	origin time.Time
+	wake   chan struct{}
+}
+
+func (r *crowdRouter) post(ev agree.RouterEvent) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range r.core.Step(time.Since(r.origin), ev) {
+		if u, is := a.(agree.Use); is {
+			if r.ground = u.On; u.On.Term && u.On.Pending == 0 {
+				r.acts[u.On.Settled] = time.Now()
+			}
+			continue
+		}
+		r.link.Do(a)
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *crowdRouter) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		r.post(agree.Look{})
+		r.mu.Lock()
+		rest := r.core.Wake() - time.Since(r.origin)
+		r.mu.Unlock()
+		select {
+		case <-r.wake:
+		default:
+		}
+		select {
+		case <-ctx.Done():
+		case <-r.wake:
+		case <-time.After(max(rest, time.Millisecond)):
+		}
+	}
+	return nil
+}
+
+// Run measures.
+func (c Crowd) Run(ctx context.Context) (f CrowdFigures, err error) {
+	f.Routers = c.Routers
+	fld := &field{s: &Schedule{Routers: 1, Control: c.Members}, o: Options{Control: c.Control}, dir: c.Dir, versions: map[uint64]*version.Version{}, began: time.Now()}
+	defer fld.close()
+	if err := fld.startGroup(ctx); err != nil {
+		return f, err
+	}
+	var addresses []string
+	for _, m := range fld.members {
+		addresses = append(addresses, m.client)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var g errgroup.Group
+	defer g.Wait()
+	defer cancel()
+	own := groupOwn(&Schedule{Routers: c.Routers})
+	var all []*crowdRouter
+	for i := range c.Routers {
+		r := &crowdRouter{acts: map[uint64]time.Time{}, origin: time.Now().Add(-time.Hour), wake: make(chan struct{}, 1)}
+		r.core = agree.NewRouter(agree.Setup{Spans: GroupSpans, Name: fmt.Sprint("r", i), Incarnation: fmt.Sprint("x", i), Own: own, Guards: version.Guards{MostGone: 1}, Addresses: len(addresses), Seed: uint64(i)})
+		r.link = steer.NewLink(addresses, GroupSpans, r.post, zap.NewNop())
+		all = append(all, r)
+		g.Go(func() error {
+			defer r.link.Close()
+			return r.link.Run(ctx)
+		})
+		g.Go(func() error { return r.run(ctx) })
+	}
+	client := control.NewClient(addresses, 20*time.Second)
+	next := 0
+	propose := func() (uint64, time.Duration, error) {
+		next++
+		r := groupRules(&field{s: &Schedule{Routers: c.Routers}})
+		r.FurtherFree, r.ColdMultiple = 10+float64(next%2), 3+float64(next%3) // up and down
+		if err := r.Check(); err != nil {
+			return 0, 0, err
+		}
+		began := time.Now()
+		o, err := client.Propose(agree.Entry{Kind: agree.Propose, ID: fmt.Sprint("c", next), Rules: r.Canonical(), Forced: []string{version.GuardFloor}})
+		return o.Number, time.Since(began), err
+	}
+	if _, _, err := propose(); err != nil {
+		return f, err
+	}
+	if err := await(ctx, 30*time.Second, func() bool { return withTerm(all) == len(all) }); err != nil {
+		return f, fmt.Errorf("not all routers get a term: %d do", withTerm(all))
+	}
+	lead := fld.leader()
+	cpu, wire := usage(fld.members[lead]), bytesOf(fld.members)
+	wait(ctx, seconds(c.Seconds))
+	f.IdleCPU, f.IdleBytes = (usage(fld.members[lead])-cpu)/c.Seconds, (bytesOf(fld.members)-wire)/c.Seconds/float64(c.Routers)
+	written, acts, last := hdrhistogram.New(1, int64(time.Minute), 3), hdrhistogram.New(1, int64(time.Minute), 3), hdrhistogram.New(1, int64(time.Minute), 3)
+	cpu, wire = usage(fld.members[lead]), bytesOf(fld.members)
+	began := time.Now()
+	for time.Since(began) < seconds(c.Seconds) {
+		at := time.Now()
+		n, took, err := propose()
+		if err != nil {
+			return f, err
+		}
+		written.RecordValue(int64(took))
+		if err := await(ctx, 10*time.Second, func() bool { return actOn(all, n) == len(all) }); err != nil {
+			return f, fmt.Errorf("version %d: %d of %d act on it", n, actOn(all, n), len(all))
+		}
+		latest := time.Duration(0)
+		for _, r := range all {
+			r.mu.Lock()
+			took := r.acts[n].Sub(at)
+			r.mu.Unlock()
+			latest = max(latest, took)
+			acts.RecordValue(int64(took))
+		}
+		last.RecordValue(int64(latest))
+		f.Versions++
+		wait(ctx, c.Every-time.Since(at))
+	}
+	passed := time.Since(began).Seconds()
+	f.BusyCPU, f.BusyBytes = (usage(fld.members[lead])-cpu)/passed, (bytesOf(fld.members)-wire)/passed/float64(c.Routers)
+	f.ResidentMB = resident(fld.members[lead])
+	for _, x := range []struct {
+		of       *hdrhistogram.Histogram
+		p50, p99 *time.Duration
+	}{{written, &f.WrittenP50, &f.WrittenP99}, {acts, &f.ActsP50, &f.ActsP99}, {last, &f.AllP50, &f.AllP99}} {
+		*x.p50, *x.p99 = time.Duration(x.of.ValueAtQuantile(50)), time.Duration(x.of.ValueAtQuantile(99))
+	}
+	if c.Members >= 3 { // an outage of proposals
+		lead = fld.leader()
+		began := time.Now()
+		if err := fld.members[lead].kill(); err != nil {
+			return f, err
+		}
+		if _, _, err := propose(); err != nil {
+			return f, err
+		}
+		f.Outage = time.Since(began)
+		f.TermsMeanwhile = float64(withTerm(all)) / float64(len(all))
+		if err := fld.members[lead].start(ctx); err != nil {
+			return f, err
+		}
+	}
+	for _, m := range fld.members { // all at once, and all routers come back
+		if err := m.kill(); err != nil {
+			return f, err
+		}
+	}
+	if err := await(ctx, 20*time.Second, func() bool { return withTerm(all) == 0 }); err != nil {
+		return f, err
+	}
+	began = time.Now()
+	for _, m := range fld.members {
+		if err := m.start(ctx); err != nil {
+			return f, err
+		}
+	}
+	if err := await(ctx, 30*time.Second, func() bool { return withTerm(all) == len(all) }); err != nil {
+		return f, fmt.Errorf("after a restart of all: %d of %d routers have a term", withTerm(all), len(all))
+	}
+	f.Back = time.Since(began)
+	return f, nil
+}
+
+func withTerm(all []*crowdRouter) (n int) {
+	for _, r := range all {
+		r.mu.Lock()
+		if r.ground.Term {
+			n++
+		}
+		r.mu.Unlock()
+	}
+	return n
+}
+
+func actOn(all []*crowdRouter, version uint64) (n int) {
+	for _, r := range all {
+		r.mu.Lock()
+		if !r.acts[version].IsZero() {
+			n++
+		}
+		r.mu.Unlock()
+	}
+	return n
+}
+
+// await waits until something has happened.
+func await(ctx context.Context, most time.Duration, what func() bool) error {
+	for until := time.Now().Add(most); !what(); {
+		if time.Now().After(until) || ctx.Err() != nil {
+			return fmt.Errorf("not within %v", most)
+		}
+		wait(ctx, 2*time.Millisecond)
+	}
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// usage is the processor time that a process has taken, in seconds, by the system's own accounting.
+func usage(m *member) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.pid()))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / 100
+}
+
+func resident(m *member) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", m.pid()))
+	if fields := strings.Fields(string(raw)); err == nil && len(fields) > 1 {
+		pages, _ := strconv.ParseFloat(fields[1], 64)
+		return pages * float64(os.Getpagesize()) / (1 << 20)
+	}
+	return 0
+}
+
+func (m *member) pid() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cmd.Process.Pid
+}
+
+// bytesOf is what all processes have read and written by calls, which is what passed their sockets and a little of their disks.
+func bytesOf(members []*member) (total float64) {
+	for _, m := range members {
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", m.pid()))
+		if err != nil {
+			continue
+		}
+		for _, line := range strings.Split(string(raw), "\n") {
+			if name, value, _ := strings.Cut(line, ": "); slices.Contains([]string{"rchar", "wchar"}, name) {
+				n, _ := strconv.ParseFloat(value, 64)
+				total += n
+			}
+		}
+	}
+	return total
+}
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -354,6 +354,9 @@
 		raw, settled := v.Encode(), reg.Settled
 		s.sent = v.Number
 		p.w.audit.published(p.w, v)
+		if !p.w.Calm && p.w.chance.IntN(30) == 0 { // one is lost: the next one comes behind a gap
+			continue
+		}
 		p.w.send(p.id, s.router.id, func() {
 			s.router.handle(s.life, func() { s.router.came(raw, settled) })
 		})
