--- a/internal/consensus/store/store.go
+++ b/internal/consensus/store/store.go
@@ -1,6 +1,8 @@
 // Package store keeps one process's part of the replicated log on disk, in an embedded store (Pebble): each change is one batch that
 // is synced before Save returns, so that what was acknowledged outlives a crash at any byte. Pebble checks all that it reads by
-// checksums and drops a tail that was not synced; each record has one more, over what was written as a whole.
+// checksums and drops a tail that was not synced; each record has one more, over what was written as a whole. Damage near the end of its
+// log looks like such a tail, so each change has a number, which is noted in a file beside it once the change is synced: a store that
+// ends before that number has lost what it had kept.
 package store
 
 import (
@@ -24,6 +26,7 @@
 	hardKey = []byte("hard")
 	snapKey = []byte("snapshot")
 	idKey   = []byte("id")
+	seqKey  = []byte("seq")
 	table   = crc32.MakeTable(crc32.Castagnoli)
 )
 
@@ -32,7 +35,9 @@
 
 // Store is one process's disk. It is used by one goroutine.
 type Store struct {
-	db *pebble.DB
+	db   *pebble.DB
+	seq  uint64   // of the last change
+	mark vfs.File // its number, once it is synced
 }
 
 // Open opens or makes the store of a process in a folder. Two processes can't have the same one, nor one process another's.
@@ -55,13 +60,42 @@
 		return nil, fmt.Errorf("store: is it another process's? %w", err)
 	}
 	s = &Store{db: db}
-	if err := s.own(id); err != nil {
-		db.Close()
+	if err := errors.Join(s.own(id), s.marked(fs, filepath.Join(dir, "mark"))); err != nil {
+		s.Close()
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	return s, nil
 }
 
+// marked compares the number of the last change with the one that was noted. A note that can't be read says nothing.
+func (s *Store) marked(fs vfs.FS, path string) error {
+	raw, done, err := s.db.Get(seqKey)
+	if err == nil {
+		s.seq = binary.BigEndian.Uint64(append(make([]byte, 8), raw...)[len(raw):])
+		err = done.Close()
+	}
+	if err != nil && !errors.Is(err, pebble.ErrNotFound) {
+		return damaged(err)
+	}
+	if s.mark, err = fs.OpenReadWrite(path, vfs.WriteCategoryUnspecified); err != nil {
+		return err
+	}
+	noted := make([]byte, 12)
+	if n, err := s.mark.ReadAt(noted, 0); n == len(noted) && err == nil && binary.BigEndian.Uint32(noted[8:]) == crc32.Checksum(noted[:8], table) {
+		if number := binary.BigEndian.Uint64(noted); number > s.seq {
+			return fmt.Errorf("%w: it ends at change %d, and %d was synced", ErrDamaged, s.seq, number)
+		}
+	}
+	return nil
+}
+
+// note notes that the last change is synced. It need not be synced itself: an older note asks for less.
+func (s *Store) note() error {
+	raw := binary.BigEndian.AppendUint64(nil, s.seq)
+	_, err := s.mark.WriteAt(binary.BigEndian.AppendUint32(raw, crc32.Checksum(raw, table)), 0)
+	return err
+}
+
 // own notes whose store it is, or finds out that it is another process's.
 func (s *Store) own(id uint64) error {
 	raw, done, err := s.db.Get(idKey)
@@ -173,9 +207,16 @@
 	for _, e := range change.Entries {
 		put(b, index(e.GetIndex()), e)
 	}
+	s.seq++
+	if err := b.Set(seqKey, binary.BigEndian.AppendUint64(nil, s.seq), nil); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
 	if err := b.Commit(pebble.Sync); err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
+	if err := s.note(); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
 	return nil
 }
 
@@ -185,6 +226,9 @@
 // Close gives the files back.
 func (s *Store) Close() (err error) {
 	defer recovered(&err)
+	if s.mark != nil {
+		s.mark.Close()
+	}
 	return s.db.Close()
 }
 
