A contradiction goes on while one side acts on the same, whatever version the other is at

Need: the test that the auditor of agreement can fail did not fail it: routers without terms, cut off for 3.5 s, were seen to contradict others for 0.97 s only.

Cause: the clock of a contradiction began anew with each version that the other side took, and one comes each 0.2 s. At fault: the pair of acts and version as its key, in internal/lab/agreed.go and internal/trial/audit.go.

Change: it is counted for as long as what is acted on stays the same and offends. This is stricter for the real thing, too.

--- a/internal/lab/agreed.go
+++ b/internal/lab/agreed.go
@@ -16,6 +16,8 @@
 	Versions int
 	Terms    float64 // share of the routers' time with a term, once the first version is in force
 	Breaches []Breach
+
+	since map[pair]time.Duration // something loosened early
 }
 
 // slack is what a router's log and the lab's own notes may differ by: a process is woken, told or heard a little later than noted.
@@ -30,8 +32,18 @@
 	blind            time.Duration // until then it was just woken or started, and has not looked yet
 }
 
+// pair are two routers, contradiction what one acts on and the version that the other goes by.
+type (
+	pair          struct{ x, y int }
+	contradiction struct {
+		acts side
+		by   uint64
+	}
+)
+
 // Agreement goes through a history and compares, at each change, what all routers act on with what those that have a term go by.
 func Agreement(h *History) (c Contradictions) {
+	c.since = map[pair]time.Duration{}
 	by := map[uint64]*version.Version{}
 	for _, v := range h.Versions {
 		by[v.Number] = v
@@ -41,11 +53,6 @@
 	for i := range sides {
 		sides[i].up = true
 	}
-	type pair struct{ x, y int }
-	type contradiction struct {
-		acts side
-		by   uint64
-	}
 	began, what := map[pair]time.Duration{}, map[pair]contradiction{}
 	seen, memo := map[contradiction]bool{}, map[contradiction]string{}
 	offence := func(a side, n uint64) string {
@@ -81,17 +88,20 @@
 				}
 				at := contradiction{a, n}
 				at.acts.blind = 0
-				if text == "" || what[p] != at {
-					if since, goes := began[p]; goes {
-						c.end(now-since, what[p].acts, what[p].by, now, offence(what[p].acts, what[p].by))
-					}
+				c.looser(p, text != "" && a.settled >= n, now, at, text)
+				since, goes := began[p]
+				if goes && (text == "" || what[p].acts != at.acts) {
+					c.end(now-since, what[p].acts, what[p].by, now, offence(what[p].acts, what[p].by))
 					delete(began, p)
-					if text == "" {
-						continue
-					}
-					began[p], what[p] = now, at
+					goes = false
+				}
+				if text == "" {
+					continue
 				}
-				seen[at] = true
+				if !goes { // it goes on as long as one acts on the same, however often the other's version changes
+					began[p] = now
+				}
+				what[p], seen[at] = at, true
 			}
 		}
 		last = now
@@ -138,9 +148,20 @@
 	if long > GroupSpans.T()+slack {
 		c.Breaches = append(c.Breaches, Breach{Auditor: "contradiction", At: at, Text: fmt.Sprintf("for %v a router acted on versions %d and %d while another went by %d: %s", long, a.settled, a.pending, by, text)})
 	}
-	if a.settled >= by {
-		if c.Loosened = max(c.Loosened, long); long > slack {
-			c.Breaches = append(c.Breaches, Breach{Auditor: "loosened", At: at, Text: fmt.Sprintf("for %v a router acted on version %d while another had a term on %d: %s", long, a.settled, by, text)})
+}
+
+// looser follows how long one acts on something looser than what another, which is behind, still goes by.
+func (c *Contradictions) looser(p pair, is bool, now time.Duration, at contradiction, text string) {
+	since, goes := c.since[p]
+	switch {
+	case is && !goes:
+		c.since[p] = now
+	case !is && goes:
+		delete(c.since, p)
+	case is:
+		if c.Loosened = max(c.Loosened, now-since); now-since > slack {
+			c.Breaches = append(c.Breaches, Breach{Auditor: "loosened", At: now, Text: fmt.Sprintf("for %v a router acted on version %d while another had a term on %d: %s", now-since, at.acts.settled, at.by, text)})
+			c.since[p] = now
 		}
 	}
 }
--- a/internal/trial/audit.go
+++ b/internal/trial/audit.go
@@ -142,6 +142,8 @@
 			if a.offence(key, with[key], n) == "" {
 				continue
 			}
+			a.seen[p] = true
+			p.by = 0 // it goes on as long as somebody acts on the same, whichever versions that contradicts
 			now[p] = true
 			if key.settled >= n && !w.Push { // what loosens waits for the last term on what came before: this never is
 				a.find("loosened", w.now, "a router acts on %+v while another has a term on version %d: %s", key, n, a.offence(key, with[key], n))
@@ -153,7 +155,6 @@
 			since := max(a.began[p]-lookEvery, 0)
 			long := w.now - since
 			a.worst = max(a.worst, long)
-			a.seen[p] = true
 			if bound := Bound(w.Spans); long > bound && long-lookEvery <= bound {
 				a.over++
 				if !w.Push {
