--- a/cmd/bankledge-lab/terms.go
+++ b/cmd/bankledge-lab/terms.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"runtime"
 	"strconv"
+	"strings"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -27,6 +28,7 @@
 	Stop    bool   `help:"End at the first schedule that breaks a rule."`
 	Chart   string `help:"File for a chart of the longest contradictions, PNG." type:"path"`
 	Mutants bool   `help:"Take one guard off the machines at a time, and see that an auditor finds it."`
+	Only    string `help:"With --mutants: only those whose names hold this."`
 	Trace   bool   `help:"Write what happens in the first schedule."`
 	JSON    bool   `help:"Write the outcome as JSON."`
 }
@@ -181,6 +183,9 @@
 func (c *terms) mutants() error {
 	missed := 0
 	for _, m := range termMutants {
+		if !strings.Contains(m.name, c.Only) {
+			continue
+		}
 		path, drop, err := mutate(m.name, "./cmd/bankledge-lab", m.edits)
 		if err != nil {
 			return err
