Nothing is sent to an engine that drains while an execution waits for it

Seen while reading: pool.get looked at an engine once, at its beginning; what then waited for a descriptor or for its connection to come up was written whenever that came, up to the connect timeout after the router was told that the engine drains or is gone. With a connect timeout near the drain grace (settings allow any) that breaks the rule; list() also told the pool before the module, so a refusal there could reach a module that did not know why. Ruled out: the module, which sends nothing to what it knows to drain. Change: the pool knows which engines drain; Execution.begin asks right before the first byte whether the engine is still listed at the address it was chosen with and ready. list() makes engines known before the module hears, drains and forgets after. Result: twelve forced cases (waits for a descriptor, connection coming up; drains, gone, off a whole list, address another's, gone and back, listed anew as draining) fail without the look (each waits 10 s for an end that does not come) and pass with it.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -58,8 +58,13 @@
 	return nil
 }
 
-// Know tells where an engine listens.
-func (b *Back) Know(engine decision.EngineID, address string) { b.pool.know(engine, address) }
+// Know tells where an engine listens, and whether it is ready for new executions.
+func (b *Back) Know(engine decision.EngineID, address string, ready bool) {
+	b.pool.know(engine, address, ready)
+}
+
+// Drain keeps what waits for a connection to an engine from being sent there; what is out goes on.
+func (b *Back) Drain(engine decision.EngineID) { b.pool.drain(engine) }
 
 // Forget drops what is kept of an engine that is gone.
 func (b *Back) Forget(engine decision.EngineID) { b.pool.forget(engine) }
--- /dev/null
+++ b/internal/back/crossing_test.go
@@ -0,0 +1,126 @@
+package back
+
+import (
+	"io"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"bankledge/decision"
+	"bankledge/internal/standin"
+)
+
+const patience = 10 * time.Second // for what must happen
+
+func await[T any](t *testing.T, c <-chan T) (got T) {
+	t.Helper()
+	select {
+	case got = <-c:
+	case <-time.After(patience):
+		t.Fatal("it did not happen")
+	}
+	return got
+}
+
+// calls is an engine that tells each call and answers it at once.
+func calls(t *testing.T, listener net.Listener) chan string {
+	heard := make(chan string, 1000)
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				buf := make([]byte, 4096)
+				for {
+					n, err := c.Read(buf)
+					if err != nil {
+						return
+					}
+					call := string(buf[:n])
+					heard <- call[:4]
+					status := "202 -"
+					if call[0] == 'D' {
+						status = "204 -"
+					}
+					io.WriteString(c, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() { listener.Close() })
+	return heard
+}
+
+// An engine is told to take nothing new, is gone, or its address has passed to another, while an execution waits for a descriptor or
+// its connection is coming up: nothing of it is sent, and it is told as never sent.
+func TestNothingIsSentToAnEngineThatDrainsMeanwhile(t *testing.T) {
+	told := map[string]func(b *Back, address string){
+		"drains":               func(b *Back, _ string) { b.Drain("e") },
+		"is gone":              func(b *Back, _ string) { b.Forget("e") },
+		"is off a whole list":  func(b *Back, _ string) { b.Keep(map[decision.EngineID]bool{}) },
+		"another's address":    func(b *Back, address string) { b.Know("other", address, true) },
+		"gone and back":        func(b *Back, _ string) { b.Forget("e"); b.Know("e", "127.0.0.1:1", true) },
+		"drains and was known": func(b *Back, address string) { b.Drain("e"); b.Know("e", address, false) },
+	}
+	for name, tell := range told {
+		t.Run("waits for a descriptor, "+name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			heard, ended := calls(t, listener), make(ends, 1)
+			b := New(t.Context(), ended, 1, time.Minute, patience, zap.NewNop())
+			b.Know("e", listener.Addr().String(), true)
+			require.NoError(t, b.pool.slot(t.Context()))
+			b.Execute(Order{Statement: "s", Engine: "e", Until: time.Now().Add(time.Minute)})
+			require.Eventually(t, func() bool { b.pool.mu.Lock(); defer b.pool.mu.Unlock(); return b.pool.waiting == 1 }, patience, time.Millisecond)
+			tell(b, listener.Addr().String())
+			<-b.pool.slots
+			assert.Equal(t, decision.NeverSent, await(t, ended).Outcome)
+			assert.Empty(t, heard)
+		})
+		t.Run("its connection is coming up, "+name, func(t *testing.T) {
+			t.Parallel()
+			listener, accept, err := standin.NotUp()
+			require.NoError(t, err)
+			ended := make(ends, 1)
+			b := New(t.Context(), ended, 4, time.Minute, patience, zap.NewNop())
+			b.Know("e", listener.Addr().String(), true)
+			b.Execute(Order{Statement: "s", Engine: "e", Until: time.Now().Add(time.Minute)})
+			require.Eventually(t, func() bool { return b.Descriptors() == 1 }, patience, time.Millisecond)
+			tell(b, listener.Addr().String())
+			accept()
+			heard := calls(t, listener)
+			assert.Equal(t, decision.NeverSent, await(t, ended).Outcome)
+			assert.Empty(t, heard)
+		})
+	}
+}
+
+// An engine that drained and is ready again is sent to.
+func TestAnEngineThatIsReadyAgain(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	heard := calls(t, listener)
+	b := New(t.Context(), make(ends, 1), 4, time.Minute, patience, zap.NewNop())
+	b.Know("e", listener.Addr().String(), true)
+	b.Drain("e")
+	assert.False(t, b.pool.mayBegin("e", listener.Addr().String()))
+	b.Know("e", listener.Addr().String(), true)
+	b.Execute(Order{Statement: "s", Engine: "e", Until: time.Now().Add(time.Minute)})
+	assert.Equal(t, "POST", await(t, heard))
+	for i := range 1000 { // nothing is kept of what drained and is gone
+		id := decision.EngineID(strconv.Itoa(i))
+		b.Drain(id)
+		b.Know(id, "127.0.0.1:"+strconv.Itoa(1000+i), true)
+		b.Drain(id)
+		b.Forget(id)
+	}
+	assert.Empty(t, b.pool.drains)
+}
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -53,6 +53,12 @@
 	return true
 }
 
+// begin marks an execution as started, unless it was revoked or given up, or its engine has been told to take nothing new.
+func (x *Execution) begin() bool {
+	return x.back.pool.mayBegin(x.Engine, x.address) && x.stage.CompareAndSwap(waiting, started) &&
+		x.ctx.Err() == nil // lapsed may have looked before it was started
+}
+
 // GiveUp waits for an execution no longer. Its end is told when it is out no longer, which takes a call to
 // the engine, unless another end comes first.
 func (x *Execution) GiveUp() {
@@ -122,8 +128,8 @@
 	x.conn = c
 	defer func() { x.release(x.conn != nil) }()
 	left := time.Until(x.Until)
-	if left < time.Millisecond || !x.stage.CompareAndSwap(waiting, started) || x.ctx.Err() != nil {
-		return decision.NeverSent, nil, true // the last: lapsed may have looked before it was started
+	if left < time.Millisecond || !x.begin() {
+		return decision.NeverSent, nil, true
 	}
 	said, whole, err := x.ask(pollHeld+pollSlack, message("POST", "/x", c.address, x.Text, fieldID, string(x.Statement),
 		fieldWorkload, x.Workload, fieldLimit, millis(left), "Content-Length", strconv.Itoa(len(x.Text))))
--- a/internal/back/execution_test.go
+++ b/internal/back/execution_test.go
@@ -35,7 +35,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	heard := make(ends, 1000)
 	b := New(ctx, heard, 20, time.Minute, time.Second, zap.NewNop())
-	b.Know("e", engine.Listener.Addr().String())
+	b.Know("e", engine.Listener.Addr().String(), true)
 	const n = 300
 	for i := range n {
 		order := Order{Statement: decision.StatementID(strconv.Itoa(i)), Engine: "e", Until: time.Now().Add(time.Minute)}
@@ -94,12 +94,12 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	b := New(ctx, heard, 20, time.Minute, time.Second, zap.NewNop())
 	address := at.Listener.Addr().String()
-	b.Know("old", address)
+	b.Know("old", address, true)
 	require.NoError(t, b.Reach(ctx, "old"))
 	require.Len(t, b.pool.idle["old"], 1)
 	b.Execute(Order{Statement: "1", Engine: "old", Until: time.Now().Add(time.Minute)})
 	require.Equal(t, "POST", <-calls)
-	b.Know("new", address) // before it was said that the old one is gone
+	b.Know("new", address, true) // before it was said that the old one is gone
 	b.pool.mu.Lock()
 	assert.Empty(t, b.pool.idle["old"])
 	b.pool.mu.Unlock()
@@ -111,7 +111,7 @@
 	assert.Equal(t, address, b.pool.of("new"), "it is the new one's")
 	for i := range 1000 {
 		id := decision.EngineID(strconv.Itoa(i))
-		b.Know(id, "127.0.0.1:"+strconv.Itoa(1000+i))
+		b.Know(id, "127.0.0.1:"+strconv.Itoa(1000+i), true)
 		if i%2 == 0 {
 			b.Forget(id)
 		}
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -89,6 +89,7 @@
 	owner   map[string]decision.EngineID  // the same the other way round
 	idle    map[decision.EngineID][]*conn // the latest used last
 	out     map[decision.EngineID]int     // executions without an end
+	drains  map[decision.EngineID]bool    // of those listed: nothing new is sent there
 	waiting int                           // for a slot
 	dials   Dials
 	closed  bool
@@ -122,18 +123,23 @@
 
 func newPool(most int, idleMost, connectIn time.Duration) *pool {
 	return &pool{slots: make(chan struct{}, most), idleMost: idleMost, connectIn: connectIn,
-		address: map[decision.EngineID]string{}, owner: map[string]decision.EngineID{}, idle: map[decision.EngineID][]*conn{}, out: map[decision.EngineID]int{}}
+		address: map[decision.EngineID]string{}, owner: map[string]decision.EngineID{}, idle: map[decision.EngineID][]*conn{}, out: map[decision.EngineID]int{},
+		drains: map[decision.EngineID]bool{}}
 }
 
 // know sets an engine's address. Connections to an earlier one, or to an earlier engine there, are not used again.
-func (p *pool) know(engine decision.EngineID, address string) {
+func (p *pool) know(engine decision.EngineID, address string, ready bool) {
 	p.mu.Lock()
+	if ready {
+		delete(p.drains, engine)
+	}
 	if p.address[engine] == address {
 		p.mu.Unlock()
 		return
 	}
 	before, other := p.address[engine], p.owner[address]
 	delete(p.address, other)
+	delete(p.drains, other)
 	if p.owner[before] == engine {
 		delete(p.owner, before)
 	}
@@ -149,6 +155,7 @@
 	p.mu.Lock()
 	address, out := p.address[engine], p.out[engine]
 	delete(p.address, engine)
+	delete(p.drains, engine)
 	if p.owner[address] == engine {
 		delete(p.owner, address)
 	}
@@ -158,6 +165,22 @@
 	}
 }
 
+// drain notes that nothing new is sent to an engine. One that is not listed takes nothing new anyway.
+func (p *pool) drain(engine decision.EngineID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.address[engine] != "" {
+		p.drains[engine] = true
+	}
+}
+
+// mayBegin tells whether an execution may be sent now that was decided when the engine was listed with this address.
+func (p *pool) mayBegin(engine decision.EngineID, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.address[engine] == address && !p.drains[engine]
+}
+
 // hold and letGo count the executions that are out at an engine.
 func (p *pool) hold(engine decision.EngineID) {
 	p.mu.Lock()
--- a/internal/back/pool_test.go
+++ b/internal/back/pool_test.go
@@ -16,7 +16,7 @@
 	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(204) }))
 	defer engine.Close()
 	p := newPool(4, time.Minute, time.Second)
-	p.know("e", engine.Listener.Addr().String())
+	p.know("e", engine.Listener.Addr().String(), true)
 	first, err := p.get(t.Context(), "e", p.of("e"), false)
 	require.NoError(t, err)
 	_, _, _, err = first.do(time.Now().Add(time.Minute), message("DELETE", "/x/s", first.address, nil))
--- a/internal/back/proof_test.go
+++ b/internal/back/proof_test.go
@@ -166,7 +166,7 @@
 		}, decision.Reset},
 		"the address is another's, the connections are gone": {held, func(t *testing.T, e *lingering, b *Back, _ *Execution) {
 			e.await(t, "GET")
-			b.Know("other", e.listener.Addr().String())
+			b.Know("other", e.listener.Addr().String(), true)
 			e.breakAll()
 		}, decision.Reset},
 		"the start comes behind its own end": {func(e *lingering, call string, n int) string {
@@ -201,7 +201,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			ended := make(ends, 10)
 			b := New(ctx, ended, 20, time.Minute, time.Second, zap.NewNop())
-			b.Know("e", e.listener.Addr().String())
+			b.Know("e", e.listener.Addr().String(), true)
 			x := b.Execute(Order{Statement: "1", Engine: "e", Text: []byte("select"), Until: time.Now().Add(time.Minute)})
 			if c.then != nil {
 				c.then(t, e, b, x)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,20 +186,26 @@
 	listed := map[decision.EngineID]bool{}
 	var addresses []string
 	for _, m := range c.Members {
-		if listed[m.Engine] = m.State != decision.Gone; !listed[m.Engine] {
-			g.back.Forget(m.Engine)
-		}
+		listed[m.Engine] = m.State != decision.Gone
 		ev.Entries, addresses = append(ev.Entries, m.Entry), append(addresses, m.Address)
 	}
-	if c.Complete {
-		g.back.Keep(listed)
-	}
-	for _, m := range c.Members { // after those that are gone, since it may have the address of one
+	for _, m := range c.Members { // before the module hears of them: it may send at once
 		if listed[m.Engine] {
-			g.back.Know(m.Engine, m.Address)
+			g.back.Know(m.Engine, m.Address, m.State == decision.Ready)
 		}
 	}
 	g.route.post(input{event: ev, address: addresses})
+	for _, m := range c.Members { // after it: what is not sent for this comes back to a module that knows why
+		switch {
+		case !listed[m.Engine]:
+			g.back.Forget(m.Engine)
+		case m.State != decision.Ready:
+			g.back.Drain(m.Engine)
+		}
+	}
+	if c.Complete {
+		g.back.Keep(listed)
+	}
 }
 
 // reach finds out at the start whether engines can be reached: one is enough.
