An execution given up between its mark and its first byte has no end too soon

Seen while reading: run marked an execution as started and only then, in ask, noted when the engine was last asked for it. Given up between the two, callOff counted the 2.55 s from the year 1970, gave up at once and told the end, while the start was written a moment later: its statement could go to a second engine beside the first. Lines: CompareAndSwap in run, asked.Store in ask. Change: begin notes the time before the mark. Result: a test that stands between the two lines and gives up there: without the change the end is told before the start is written (seen, the test fails); with it the end comes after the start's answer and a second DELETE.

--- a/internal/back/crossing_test.go
+++ b/internal/back/crossing_test.go
@@ -1,6 +1,7 @@
 package back
 
 import (
+	"context"
 	"io"
 	"net"
 	"strconv"
@@ -124,3 +125,32 @@
 	}
 	assert.Empty(t, b.pool.drains)
 }
+
+// An execution is given up in the moment between its start is marked and the first byte of it is written: it has no end before the
+// engine has answered its start and, after that, that it was given up. Else its statement would run twice at once.
+func TestGivenUpBetweenTheMarkAndTheFirstByte(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	heard, ended := calls(t, listener), make(ends, 1)
+	b := New(t.Context(), ended, 4, time.Minute, patience, zap.NewNop())
+	b.Know("e", listener.Addr().String(), true)
+	ctx, cancel := context.WithCancel(t.Context())
+	x := &Execution{back: b, Order: Order{Statement: "s", Engine: "e", Until: time.Now().Add(time.Minute)}, path: "/x/s", address: b.pool.of("e"),
+		sent: time.Now(), ctx: ctx, cancel: cancel, heard: make(chan struct{}), over: make(chan struct{})}
+	b.pool.hold("e")
+	x.conn, err = b.pool.get(ctx, "e", x.address, false)
+	require.NoError(t, err)
+	require.True(t, x.begin())
+	context.AfterFunc(ctx, x.lapsed)
+	x.GiveUp() // here
+	assert.Equal(t, "DELE", await(t, heard), "it may be on its way already")
+	assert.Empty(t, ended)
+	_, whole, err := x.ask(patience, message("POST", "/x", x.address, nil, "Content-Length", "0"))
+	require.True(t, whole && err == nil)
+	assert.Equal(t, "POST", await(t, heard))
+	assert.Empty(t, ended, "its start was answered after the DELETE")
+	close(x.heard)
+	assert.Equal(t, "DELE", await(t, heard), "once more, behind the start")
+	assert.Equal(t, decision.Cancelled, await(t, ended).Outcome)
+	x.release(true)
+}
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -53,8 +53,11 @@
 	return true
 }
 
-// begin marks an execution as started, unless it was revoked or given up, or its engine has been told to take nothing new.
+// begin marks an execution as started, unless it was revoked or given up, or its engine has been told to take nothing new. From
+// here on the engine may run it: when it was last asked for it is known before anyone can find it started, since
+// whoever calls it off counts from there.
 func (x *Execution) begin() bool {
+	x.asked.Store(time.Now().UnixNano())
 	return x.back.pool.mayBegin(x.Engine, x.address) && x.stage.CompareAndSwap(waiting, started) &&
 		x.ctx.Err() == nil // lapsed may have looked before it was started
 }
