The end of the program waits for no engine that hangs

Seen while reading: calls to engines have deadlines of their own (550 ms) and did not hear of the program's end, so Tend waited for the slowest of them after the last answer, up to 0.55 s: with half of the engines hanging the router ended after SIGKILL may come. Change: the pool knows all its connections and closes them at the end; one that comes up later is closed at once, its slot given back. Result: a call with an hour left to an engine that says nothing: the end waits for it without the change (10 s, the test's patience), and does not with it.

--- a/internal/back/crossing_test.go
+++ b/internal/back/crossing_test.go
@@ -154,3 +154,32 @@
 	assert.Equal(t, decision.Cancelled, await(t, ended).Outcome)
 	x.release(true)
 }
+
+// The end of the program waits for no engine: a call to one that hangs is broken off.
+func TestTheEndWaitsForNoEngine(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	b := New(ctx, make(ends, 1), 4, time.Minute, patience, zap.NewNop())
+	b.Know("e", listener.Addr().String(), true)
+	tended := make(chan error, 1)
+	go func() { tended <- b.Tend(ctx) }()
+	c, err := b.pool.get(ctx, "e", b.pool.of("e"), false)
+	require.NoError(t, err)
+	b.running.Go(func() {
+		c.do(time.Now().Add(time.Hour), message("GET", "/x/s/0", c.address, nil))
+		b.pool.drop(c)
+	})
+	engine, err := listener.Accept()
+	require.NoError(t, err)
+	defer engine.Close()
+	_, err = engine.Read(make([]byte, 1)) // the call is out
+	require.NoError(t, err)
+	cancel()
+	require.NoError(t, await(t, tended))
+	assert.Zero(t, b.Descriptors())
+	_, err = b.pool.get(t.Context(), "e", b.pool.of("e"), true) // nothing comes up after it
+	require.Error(t, err)
+	assert.Zero(t, b.Descriptors())
+}
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -90,6 +90,7 @@
 	idle    map[decision.EngineID][]*conn // the latest used last
 	out     map[decision.EngineID]int     // executions without an end
 	drains  map[decision.EngineID]bool    // of those listed: nothing new is sent there
+	made    map[*conn]struct{}            // all there are
 	waiting int                           // for a slot
 	dials   Dials
 	closed  bool
@@ -124,7 +125,7 @@
 func newPool(most int, idleMost, connectIn time.Duration) *pool {
 	return &pool{slots: make(chan struct{}, most), idleMost: idleMost, connectIn: connectIn,
 		address: map[decision.EngineID]string{}, owner: map[string]decision.EngineID{}, idle: map[decision.EngineID][]*conn{}, out: map[decision.EngineID]int{},
-		drains: map[decision.EngineID]bool{}}
+		drains: map[decision.EngineID]bool{}, made: map[*conn]struct{}{}}
 }
 
 // know sets an engine's address. Connections to an earlier one, or to an earlier engine there, are not used again.
@@ -265,7 +266,16 @@
 		<-p.slots
 		return nil, err
 	}
-	return &conn{raw: raw, reader: http1.NewReader(raw), engine: engine, address: address}, nil
+	c := &conn{raw: raw, reader: http1.NewReader(raw), engine: engine, address: address}
+	p.mu.Lock()
+	p.made[c] = struct{}{}
+	closed := p.closed
+	p.mu.Unlock()
+	if closed { // it came up after the end
+		p.drop(c)
+		return nil, context.Canceled
+	}
+	return c, nil
 }
 
 // slot takes a slot; when there is none, the longest idle connection goes first.
@@ -343,6 +353,9 @@
 // drop closes a connection: the one place where its descriptor is given back.
 func (p *pool) drop(c *conn) {
 	c.raw.Close()
+	p.mu.Lock()
+	delete(p.made, c)
+	p.mu.Unlock()
 	<-p.slots
 }
 
@@ -367,6 +380,9 @@
 		case <-ctx.Done():
 			p.mu.Lock()
 			p.closed = true
+			for c := range p.made { // a call that waits for an engine that hangs would hold up the end of the program
+				c.raw.Close()
+			}
 			p.mu.Unlock()
 			p.closeOlder(0)
 			return
