A connection whose statement may be on its way is not closed for another

Seen while reading: when all places for clients were taken, evict closed first what had never sent a frame, however new: a connection accepted a moment ago whose first statement was on its way lost it with no answer, while others had been idle for seconds. Also one answered just now. Ruled out: place, which waits where nothing can go; the protocol grants a close only where nothing crosses it. Change: a connection without a frame counts as dispensable after half a second, one at rest after a second; until then a new one waits in the kernel.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,7 +32,9 @@
 
 	drainLook, drainLookMost = 2 * time.Millisecond, 50 * time.Millisecond // between looks at what the client has taken in
 	acceptPause              = 20 * time.Millisecond
-	lingerOfLost             = time.Second // a connection with its framing lost may stay so long for its last word
+	lingerOfLost             = time.Second            // a connection with its framing lost may stay so long for its last word
+	freshTime                = 500 * time.Millisecond // a connection so new may have its first statement on its way
+	restedTime               = time.Second            // and one that was idle for less its next
 
 	unfitPause     = 2 * time.Millisecond // before reading on, for each frame so far that could not be used
 	unfitPauseMost = 50 * time.Millisecond
@@ -382,7 +384,8 @@
 // shortest is the most that a frame may hold which is queued whatever waits.
 const shortest = 256
 
-// dispensable is 0 for a connection with something open; else the higher, the smaller the loss of it.
+// dispensable is 0 for a connection with something open, or whose next statement may well be on its way: to close one that is new
+// leaves a client without an answer. Else it is the higher, the smaller the loss.
 func (c *Conn) dispensable() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -391,8 +394,12 @@
 		return 0
 	case c.unfit > 0:
 		return 3
+	case !c.spoke && time.Since(c.since) < freshTime:
+		return 0
 	case !c.spoke:
 		return 2
+	case time.Since(c.idle) < restedTime:
+		return 0
 	}
 	return 1
 }
