What was taken before a connection's framing was lost is still answered

Seen while reading: a frame that cannot be cut (or one unfit frame too many) ended the reader, and with it the connection: statements taken before on the same connection counted as left and never got their answer, and bytes not read yet made the kernel reset the connection, which drops answers on their way. Ruled out: the writer, which flushes its queue. Change: lose throws away what comes, until all that is open is answered or the client has gone; then the end is told and the connection lingers for a second.

--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -1,12 +1,131 @@
 package front
 
 import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"bankledge/internal/account"
 )
 
+const patience = 10 * time.Second // for what must happen; nothing waits so long when all is well
+
+// taker hands what a front tells it to a test, which answers by hand.
+type taker struct {
+	nobody
+	took  chan *Conn
+	left  chan uint32
+	asked chan struct{} // whether it is ready
+}
+
+func (k taker) Ready() bool {
+	k.asked <- struct{}{}
+	return true
+}
+
+func (k taker) TakeIn(c *Conn, _ uint32, _ Fields, _ []byte) bool {
+	k.took <- c
+	return true
+}
+
+func (k taker) Left(_ *Conn, streams []uint32) {
+	for _, stream := range streams {
+		k.left <- stream
+	}
+}
+
+func serve(t *testing.T) (*Front, taker, string) {
+	k := taker{took: make(chan *Conn, 100), left: make(chan uint32, 100), asked: make(chan struct{}, 100)}
+	f := New(k, 10, 1<<20, account.Derive(64, 10), zap.NewNop())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		listener.Close()
+		require.NoError(t, <-ended)
+	})
+	return f, k, listener.Addr().String()
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	return c
+}
+
+func await[T any](t *testing.T, c <-chan T) (got T) {
+	t.Helper()
+	select {
+	case got = <-c:
+	case <-time.After(patience):
+		t.Fatal("it did not happen")
+	}
+	return got
+}
+
+func frameOf(stream uint32) []byte {
+	return append(appendFrame(nil, typeStatement, stream, 2), "\x00x"...)
+}
+
+func readFrame(t *testing.T, r *bufio.Reader) frame {
+	t.Helper()
+	head := make([]byte, headBytes)
+	_, err := io.ReadFull(r, head)
+	require.NoError(t, err)
+	raw := append(head, make([]byte, frameSize(head)-headBytes)...)
+	_, err = io.ReadFull(r, raw[headBytes:])
+	require.NoError(t, err)
+	f, _, err := parseFrame(raw)
+	require.NoError(t, err)
+	return f
+}
+
+// What was taken on a connection before its framing was lost is answered to the last byte, whatever junk comes behind; and its client may
+// leave as from any other.
+func TestWhatWasTakenBeforeTheFramingWasLost(t *testing.T) {
+	junk := append([]byte{0, 0, 0, 1}, make([]byte, 64<<10)...)
+	t.Run("is answered", func(t *testing.T) {
+		_, k, address := serve(t)
+		c := dial(t, address)
+		_, err := c.Write(append(frameOf(1), junk...))
+		require.NoError(t, err)
+		taken, r := await(t, k.took), bufio.NewReader(c)
+		assert.Equal(t, uint32(0), readFrame(t, r).stream, "its last word on the framing")
+		body := bytes.Repeat([]byte("row\n"), 12_000)
+		taken.Answer(1, CodeCompleted, body)
+		got := readFrame(t, r)
+		assert.Equal(t, uint32(1), got.stream)
+		assert.Equal(t, body, got.payload[2:])
+		_, err = r.ReadByte()
+		require.ErrorIs(t, err, io.EOF)
+		assert.Empty(t, k.left)
+	})
+	t.Run("is left", func(t *testing.T) {
+		_, k, address := serve(t)
+		c := dial(t, address)
+		_, err := c.Write(append(frameOf(1), junk...))
+		require.NoError(t, err)
+		await(t, k.took)
+		readFrame(t, bufio.NewReader(c))
+		assert.Empty(t, k.left, "it waits for its answer")
+		c.Close()
+		assert.Equal(t, uint32(1), await(t, k.left))
+	})
+}
+
 // A connection is closed for another only where that leaves nobody without an answer.
 func TestWhoMakesRoom(t *testing.T) {
 	now, long := time.Now(), time.Now().Add(-time.Minute)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,7 +32,8 @@
 
 	drainLook, drainLookMost = 2 * time.Millisecond, 50 * time.Millisecond // between looks at what the client has taken in
 	acceptPause              = 20 * time.Millisecond
-	lingerOfLost             = time.Second            // a connection with its framing lost may stay so long for its last word
+	lingerOfLost             = time.Second // a connection with its framing lost may stay so long once its last answer is written
+	spillLook                = 20 * time.Millisecond
 	freshTime                = 500 * time.Millisecond // a connection so new may have its first statement on its way
 	restedTime               = time.Second            // and one that was idle for less its next
 
@@ -271,6 +272,7 @@
 	ended    bool            // its end has begun: nothing more is taken in
 	open     map[uint32]bool // streams whose answer is not written yet; true: nobody waits for it
 	answered int             // of these, those whose answer is queued or being written
+	writing  int             // frames that were taken from out and are not with the kernel yet
 	below    uint32          // all streams up to this one are used
 	apart    map[uint32]bool // and these above it
 	spoke    bool            // a whole frame has come
@@ -509,7 +511,7 @@
 			late += int64(n)
 		}
 		if err != nil {
-			if timeout := (net.Error)(nil); errors.As(err, &timeout) && timeout.Timeout() {
+			if isTimeout(err) {
 				if c.busy() { // not before what is open is answered
 					began, late = time.Now(), 0
 					continue
@@ -541,10 +543,40 @@
 	}
 }
 
-// lose says a last word on a connection of which nothing more can be read.
+// lose says a last word on a connection of which nothing more can be read. What was taken on it before is still answered: what
+// comes meanwhile is thrown away, since the kernel would throw away what waits for the client if the connection were
+// closed with bytes unread.
 func (c *Conn) lose(why string) {
 	c.fault(why)
-	c.raw.SetDeadline(time.Now().Add(lingerOfLost))
+	waste, told, until := make([]byte, freeFrame), false, time.Time{}
+	for !told || time.Now().Before(until) {
+		if !told && c.settled() {
+			told, until = true, time.Now().Add(lingerOfLost)
+			if tcp, ok := c.raw.(*net.TCPConn); ok {
+				tcp.CloseWrite()
+			}
+		}
+		c.raw.SetReadDeadline(time.Now().Add(spillLook))
+		n, err := c.raw.Read(waste)
+		if err != nil && !isTimeout(err) {
+			return
+		}
+		if n > 0 { // no faster than what cannot be used
+			time.Sleep(unfitPauseMost)
+		}
+	}
+}
+
+func isTimeout(err error) bool {
+	timeout := (net.Error)(nil)
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// settled tells whether nothing is open and nothing waits to be written.
+func (c *Conn) settled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) == 0 && len(c.out) == 0 && c.writing == 0
 }
 
 func (c *Conn) busy() bool {
@@ -779,6 +811,7 @@
 	if len(c.out) == 0 {
 		c.out = nil
 	}
+	c.writing = len(out)
 	return out, len(c.out) > 0
 }
 
@@ -800,7 +833,7 @@
 			delete(c.open, o.stream)
 		}
 	}
-	c.idle = time.Now()
+	c.idle, c.writing = time.Now(), 0
 	return c.stalled
 }
 
