Who leaves while nothing is read from it is noticed

Seen while reading: nothing is read from a client that does not take its answers in (awaitFlow), so a type 9, an end or a reset of its connection was found out only when it was released, 12 s later: what was out for it ran on, and what waited for a connection was sent. What was held was set aside and not sent. Change: while nothing is read, the reader looks each 50 ms, without taking anything, at what lies in the kernel (4 KiB at most) for frames that say so, and at the connection's state for an end behind bytes not read.

--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -6,17 +6,22 @@
 	"context"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"bankledge/internal/account"
 )
 
-const patience = 10 * time.Second // for what must happen; nothing waits so long when all is well
+const (
+	patience = 10 * time.Second // for what must happen; nothing waits so long when all is well
+	slowest  = 8 * time.Second  // before a client that takes nothing in is released, which ends all that is open on it
+)
 
 // taker hands what a front tells it to a test, which answers by hand.
 type taker struct {
@@ -126,6 +131,57 @@
 	})
 }
 
+// A client from which nothing is read, since it takes nothing in, may leave like any other.
+func TestWhoIsNotReadFromMayLeave(t *testing.T) {
+	for _, how := range []struct {
+		name  string
+		leave func(c net.Conn)
+	}{
+		{"a frame that says so, behind one that is not taken yet", func(c net.Conn) {
+			c.Write(append(frameOf(40), appendFrame(nil, typeLeft, 1, 0)...))
+		}},
+		{"the end of the connection", func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }},
+		{"the end behind a frame", func(c net.Conn) { c.Write(frameOf(40)); c.(*net.TCPConn).CloseWrite() }},
+		{"a reset", func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }},
+	} {
+		t.Run(how.name, func(t *testing.T) {
+			t.Parallel()
+			_, k, address := serve(t)
+			small := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error { // else its kernel takes in what it does not read
+				return raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 2048) })
+			}}
+			c, err := small.Dial("tcp", address)
+			require.NoError(t, err)
+			defer c.Close()
+			var frames []byte
+			for stream := range uint32(mostOpen) {
+				frames = append(frames, frameOf(stream+1)...)
+			}
+			_, err = c.Write(frames)
+			require.NoError(t, err)
+			var conn *Conn
+			for range mostOpen {
+				conn = await(t, k.took)
+			}
+			body, stalled := bytes.Repeat([]byte("row\n"), 12_000), false
+			for stream := uint32(2); stream <= mostOpen && !stalled; stream++ { // the first stays open
+				stalled = conn.Answer(stream, CodeCompleted, body)
+			}
+			require.True(t, stalled, "nothing is read from it any more")
+			_, err = c.Write(appendFrame(nil, typeReadyAsked, 0, 0))
+			require.NoError(t, err)
+			await(t, k.asked) // the reader has this, and stops before the next read
+			how.leave(c)
+			var left time.Time
+			for began := time.Now(); left.IsZero(); require.Less(t, time.Since(began), slowest) {
+				if await(t, k.left) == 1 {
+					left = time.Now()
+				}
+			}
+		})
+	}
+}
+
 // A connection is closed for another only where that leaves nobody without an answer.
 func TestWhoMakesRoom(t *testing.T) {
 	now, long := time.Now(), time.Now().Add(-time.Minute)
@@ -146,3 +202,20 @@
 		assert.Equal(t, c.want, c.conn.dispensable(), c.name)
 	}
 }
+
+func TestLeftIn(t *testing.T) {
+	left := func(stream uint32) []byte { return appendFrame(nil, typeLeft, stream, 0) }
+	for _, c := range []struct {
+		name       string
+		read, next []byte
+		want       []uint32
+	}{
+		{"nothing", nil, nil, nil},
+		{"behind a statement", frameOf(3), left(1), []uint32{1}},
+		{"cut between what was read and what was not", left(7)[:5], append(left(7)[5:], left(8)...), []uint32{7, 8}},
+		{"not whole", nil, left(1)[:8], nil},
+		{"behind what is no frame", []byte{0, 0, 0, 1}, left(1), nil},
+	} {
+		assert.Equal(t, c.want, leftIn(c.read, c.next), c.name)
+	}
+}
--- a/internal/front/frame.go
+++ b/internal/front/frame.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // The types of frame, by the protocol's numbers.
@@ -60,6 +61,20 @@
 	return frame{raw[4], binary.BigEndian.Uint32(raw[5:]), raw[9:size]}, size, nil
 }
 
+// leftIn is the streams that nobody waits for any more, by the whole frames in what was read and what follows it.
+func leftIn(read, next []byte) (streams []uint32) {
+	for raw := slices.Concat(read, next); ; {
+		f, size, err := parseFrame(raw)
+		if err != nil || size == 0 {
+			return streams
+		}
+		if f.kind == typeLeft {
+			streams = append(streams, f.stream)
+		}
+		raw = raw[size:]
+	}
+}
+
 // Fields are the named values of a frame.
 type Fields map[string]string
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,6 +34,8 @@
 	acceptPause              = 20 * time.Millisecond
 	lingerOfLost             = time.Second // a connection with its framing lost may stay so long once its last answer is written
 	spillLook                = 20 * time.Millisecond
+	gonePeek                 = 4 << 10 // bytes looked through for a word that nobody waits, of what is not read
+	goneLook                 = 50 * time.Millisecond
 	freshTime                = 500 * time.Millisecond // a connection so new may have its first statement on its way
 	restedTime               = time.Second            // and one that was idle for less its next
 
@@ -292,24 +294,56 @@
 
 // measure finds out what the kernel holds for the client, which is what the client has not taken in.
 func (c *Conn) measure() {
+	if left, ok := c.unsent(); ok {
+		c.booked(func(now time.Duration, a *account.Peer) { a.Left(now, int64(left)) })
+	}
+}
+
+// control calls do with the connection's descriptor, which stays good for the call.
+func (c *Conn) control(do func(fd int)) {
 	tcp, ok := c.raw.(*net.TCPConn)
 	if !ok {
 		return
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
+	if raw, err := tcp.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { do(int(fd)) })
 	}
-	left := -1
-	if raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.TIOCOUTQ); err == nil {
-			left = n
+}
+
+// unsent is how many bytes the kernel holds for the client.
+func (c *Conn) unsent() (left int, ok bool) {
+	c.control(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+		left, ok = n, err == nil && n >= 0
+	})
+	return left, ok
+}
+
+// glance looks, without taking anything, at what a client has sent that is not read from: whether its connection has ended, and
+// which streams nobody waits for any more. Who sends and does not take in may leave like anyone else.
+func (c *Conn) glance(pending []byte, scratch []byte) (ended bool) {
+	n := 0
+	c.control(func(fd int) {
+		var err error
+		n, _, err = unix.Recvfrom(fd, scratch, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if n = max(n, 0); err != nil {
+			ended = !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+		} else if n == 0 {
+			ended = true
 		}
-	}) == nil && left >= 0 {
-		c.booked(func(now time.Duration, a *account.Peer) { a.Left(now, int64(left)) })
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil { // its end may lie behind bytes not read
+			ended = ended || info.State == tcpClose || info.State == tcpCloseWait
+		}
+	})
+	for _, stream := range leftIn(pending, scratch[:n]) {
+		c.leaves(stream)
 	}
+	return ended
 }
 
+// The kernel's states of a connection whose other side has ended it.
+const tcpClose, tcpCloseWait = 7, 8
+
 // look judges how the client takes its answers in: whether reading from it stops or goes on, and whether it is released.
 func (c *Conn) look() {
 	var holds, stalled, slow bool
@@ -496,7 +530,11 @@
 				return
 			}
 		}
-		if c.awaitFlow() { // the router was the one who was waited for
+		waited, gone := c.awaitFlow(buf.Next())
+		if gone {
+			return
+		}
+		if waited { // the router was the one who was waited for
 			began, late = time.Now(), 0
 		}
 		idle, until := spoke && len(buf.Next()) == 0, time.Now().Add(limits.FrameWait(time.Since(began), late))
@@ -525,20 +563,28 @@
 	}
 }
 
-// awaitFlow waits while so much waits for the client that nothing is read from it, and tells whether it had to.
-func (c *Conn) awaitFlow() (waited bool) {
+// awaitFlow waits while so much waits for the client that nothing is read from it. It tells whether it had to, and whether
+// the client has gone meanwhile.
+func (c *Conn) awaitFlow(pending []byte) (waited, gone bool) {
+	var scratch []byte
 	for {
 		c.mu.Lock()
 		stalled := c.stalled && !c.ended && c.released.IsZero()
 		c.mu.Unlock()
 		if !stalled {
-			return waited
+			return waited, false
+		}
+		if waited = true; scratch == nil {
+			scratch = make([]byte, gonePeek)
+		}
+		if c.glance(pending, scratch) {
+			return waited, true
 		}
-		waited = true
 		select {
 		case <-c.flow:
+		case <-time.After(goneLook):
 		case <-c.done:
-			return waited
+			return waited, false
 		}
 	}
 }
@@ -611,15 +657,7 @@
 		}
 		c.queue(appendAnswer(nil, typeReadyTold, f.stream, code, nil), 0)
 	case typeLeft:
-		c.mu.Lock()
-		gone, open := c.open[f.stream]
-		if open {
-			c.open[f.stream] = true
-		}
-		c.mu.Unlock()
-		if open && !gone {
-			c.front.taker.Left(c, []uint32{f.stream})
-		}
+		c.leaves(f.stream)
 	case typeStatement:
 		full, err := c.begin(f.stream)
 		if errors.Is(err, errEnded) {
@@ -647,6 +685,19 @@
 	}
 }
 
+// leaves notes that nobody waits for a stream any more; a second time it has no effect.
+func (c *Conn) leaves(stream uint32) {
+	c.mu.Lock()
+	gone, open := c.open[stream]
+	if open {
+		c.open[stream] = true
+	}
+	c.mu.Unlock()
+	if open && !gone {
+		c.front.taker.Left(c, []uint32{stream})
+	}
+}
+
 var errEnded = errors.New("the connection has ended")
 
 // begin opens a stream, which must be new; full: it is, but as many as may be are open.
