A stop waits until clients have taken in what was written to them

Seen while reading: the program ended once all answers were with the kernel. Where a client had sent anything that was not read by then, the kernel resets the connection at the close and drops what the client has not taken in: the end of an answer to a slow reader. Change: Queued counts connections for which the kernel still holds bytes, and frames that are being written. A client that never reads keeps the stop to its end, which is before the router would be killed.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -34,10 +34,10 @@
 	acceptPause              = 20 * time.Millisecond
 	lingerOfLost             = time.Second // a connection with its framing lost may stay so long once its last answer is written
 	spillLook                = 20 * time.Millisecond
-	gonePeek                 = 4 << 10 // bytes looked through for a word that nobody waits, of what is not read
-	goneLook                 = 50 * time.Millisecond
 	freshTime                = 500 * time.Millisecond // a connection so new may have its first statement on its way
 	restedTime               = time.Second            // and one that was idle for less its next
+	gonePeek                 = 4 << 10                // bytes looked through for a word that nobody waits, of what is not read
+	goneLook                 = 50 * time.Millisecond
 
 	unfitPause     = 2 * time.Millisecond // before reading on, for each frame so far that could not be used
 	unfitPauseMost = 50 * time.Millisecond
@@ -188,14 +188,18 @@
 	}
 }
 
-// Queued is the number of frames that still wait to be written, or are being written.
+// Queued is the number of frames that still wait to be written or are being written, and of connections whose client
+// has not taken in yet what was.
 func (f *Front) Queued() (n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
 		c.mu.Lock()
-		n += len(c.out) + c.answered
+		n += len(c.out) + c.writing + c.answered
 		c.mu.Unlock()
+		if left, ok := c.unsent(); ok && left > 0 { // an end now might have the kernel drop it
+			n++
+		}
 	}
 	return n
 }
