A watch that tells nothing is left in time, also when the next one tells nothing either

Seen: after 2.5 s of silence a new connection was made and given 2.5 s in its turn, so three silent ones in a row take 7.5 s, beyond the 7 s after which an event counts as told and a short drain grace; any byte was a sign of life, so a line that trickles or an answer's head without an end was followed for ever; so was a watch that sends comments and no events. Change: a new connection has 1.25 s for its next line, half as much more after each barren one; a whole line (or 4 KiB of one) is the sign of life; without an event for 4 s another connection is made beside this one and takes its place. What it costs is a connection of a router to the feed each 4 s without events.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -2,12 +2,14 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -21,7 +23,10 @@
 )
 
 const (
-	silence    = 2500 * time.Millisecond // a comment comes each second: a feed so long silent is dead
+	silence    = 2500 * time.Millisecond // a comment comes each second: a feed without a whole line for so long is dead
+	firstLine  = 1250 * time.Millisecond // that a new connection is given for its next line; half as much more after each that had none
+	longLine   = 4 << 10                 // bytes of one line that are a sign of life, too: an event may be long
+	quiet      = 4 * time.Second         // without an event, comments or not: another connection may have one to tell
 	connectIn  = 500 * time.Millisecond
 	pauseFirst = 50 * time.Millisecond
 	pauseMost  = 400 * time.Millisecond
@@ -103,6 +108,10 @@
 	Take    func(Change)
 	Log     *zap.Logger
 
+	stream *alive   // the connection that is followed
+	spare  net.Conn // one that is to take its place
+	barren int      // connections in a row that brought no line
+
 	skipped  int  // tries at the event that could not be read
 	gapAsked bool // a gap was asked for again already
 
@@ -163,17 +172,24 @@
 // with growing pauses while nothing comes.
 func (f *Feed) Follow(ctx context.Context) error {
 	pause := time.Duration(0)
+	defer f.dropSpare()
 	for ctx.Err() == nil {
 		stay, leave, moved := f.settle(ctx)
 		if moved {
-			pause = 0
+			f.dropSpare() // it leads to the old place
+			pause, f.barren = 0, 0
 		}
 		before := f.Last
 		began := time.Now()
 		err := f.once(stay)
-		if f.Last > before || time.Since(began) > silence {
+		renewed := errors.Is(err, errRenewed)
+		if f.Last > before || renewed || time.Since(began) > firstLine/2 { // it came up: the next one at once
 			pause = 0
 		}
+		if renewed {
+			leave()
+			continue
+		}
 		if stay.Err() == nil {
 			f.Log.Warn("control feed lost, connecting anew", zap.Error(err), zap.Int64("last", f.Last), zap.Duration("pause", pause))
 		}
@@ -187,23 +203,33 @@
 	return nil
 }
 
-// once follows the feed on one connection.
+var errRenewed = errors.New("another connection has taken its place")
+
+// once follows the feed on one connection, the one that has taken the last one's place or a new one.
 func (f *Feed) once(ctx context.Context) error {
-	dial, cancel := context.WithTimeout(ctx, connectIn)
-	defer cancel()
-	raw, err := (&net.Dialer{}).DialContext(dial, "tcp", f.Address)
-	if err != nil {
-		return err
+	raw := f.spare
+	f.spare = nil
+	if raw == nil {
+		var err error
+		if raw, err = f.ask(ctx); err != nil {
+			return err
+		}
 	}
 	defer raw.Close()
 	defer context.AfterFunc(ctx, func() { raw.Close() })()
-	raw.SetDeadline(time.Now().Add(silence))
-	call := "GET /v1/events HTTP/1.1\r\nHost: " + f.Address + "\r\nAccept: text/event-stream\r\nLast-Event-ID: " +
-		strconv.FormatInt(f.Last, 10) + "\r\n\r\n"
-	if _, err := io.WriteString(raw, call); err != nil {
-		return err
+	stream := &alive{Conn: raw, sign: time.Now(), patience: f.patience(), event: time.Now()}
+	stream.renew = func() bool {
+		var err error
+		f.spare, err = f.ask(ctx)
+		return err == nil
 	}
-	reader := http1.NewReader(alive{raw})
+	f.stream = stream
+	defer func() {
+		if f.barren++; stream.lines {
+			f.barren = 0
+		}
+	}()
+	reader := http1.NewReader(stream)
 	head, err := reader.Head()
 	if err != nil {
 		return err
@@ -211,20 +237,90 @@
 	if head.Status != 200 {
 		return fmt.Errorf("control feed answered %d", head.Status)
 	}
+	stream.heads = true
 	return f.events(reader.Body(head))
 }
 
-// alive takes every byte as a sign of life.
-type alive struct{ net.Conn }
+func (f *Feed) dropSpare() {
+	if f.spare != nil {
+		f.spare.Close()
+		f.spare = nil
+	}
+}
+
+// ask makes a connection and asks for what follows the last event taken.
+func (f *Feed) ask(ctx context.Context) (net.Conn, error) {
+	dial, cancel := context.WithTimeout(ctx, connectIn)
+	defer cancel()
+	raw, err := (&net.Dialer{}).DialContext(dial, "tcp", f.Address)
+	if err != nil {
+		return nil, err
+	}
+	raw.SetDeadline(time.Now().Add(firstLine))
+	call := "GET /v1/events HTTP/1.1\r\nHost: " + f.Address + "\r\nAccept: text/event-stream\r\nLast-Event-ID: " +
+		strconv.FormatInt(f.Last, 10) + "\r\n\r\n"
+	if _, err := io.WriteString(raw, call); err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return raw, nil
+}
+
+// patience is how long a new connection is given for its first line. All connections that an event may meet before it is told
+// have to fit in the time after which it counts as told; and a feed that is slow to begin has to be given time in the end.
+func (f *Feed) patience() time.Duration {
+	patience := firstLine
+	for range f.barren {
+		patience = min(silence, patience*3/2)
+	}
+	return patience
+}
+
+// alive is a connection that ends when it gives no sign of life for long. Not every byte is one: a line that comes a byte at a time
+// tells nothing, and neither does a connection that brings the answer's head and no more.
+type alive struct {
+	net.Conn
+	sign     time.Time // of life, the last
+	part     int       // bytes since then
+	patience time.Duration
+	heads    bool        // the answer's head is read
+	lines    bool        // and lines of its body have come
+	event    time.Time   // the last, or the start
+	renew    func() bool // makes a connection that may take this one's place
+}
 
-func (a alive) Read(p []byte) (int, error) {
-	a.SetReadDeadline(time.Now().Add(silence))
-	return a.Conn.Read(p)
+func (a *alive) Read(p []byte) (int, error) {
+	for {
+		due := a.sign.Add(a.patience)
+		if again := a.event.Add(quiet); a.lines && again.Before(due) {
+			due = again
+		}
+		a.SetReadDeadline(due)
+		n, err := a.Conn.Read(p)
+		now := time.Now()
+		if a.part += n; bytes.IndexByte(p[:n], '\n') >= 0 || a.part >= longLine {
+			if a.sign, a.part = now, 0; a.heads {
+				a.lines, a.patience = true, silence
+			}
+		}
+		if n > 0 || err == nil || !errors.Is(err, os.ErrDeadlineExceeded) || !a.lines || now.Sub(a.sign) >= a.patience {
+			return n, err
+		}
+		if a.renew() { // only its events are missed
+			return 0, errRenewed
+		}
+		a.event = now.Add(firstLine - quiet) // tried again a while later: this one is better than none
+	}
 }
 
 // events reads server-sent events until the stream ends or one calls for a new connection.
 func (f *Feed) events(body io.Reader) error {
-	return sse.Read(body, mostEvent, func(e sse.Event) error { return f.event(e.ID, e.Data) })
+	return sse.Read(body, mostEvent, func(e sse.Event) error {
+		if f.stream != nil {
+			f.stream.event = time.Now()
+		}
+		return f.event(e.ID, e.Data)
+	})
 }
 
 // event takes one event: repeats are passed over, a gap is asked for again once.
