A stop leaves late statements their whole time, however short that is

Seen while reading: the end of a stop was the longest statement timeout and 0.4 s, what was open being given up 0.2 s before. Statements may come until 0.6 s after SIGTERM, so where all timeouts are short (0.18 s, say) the router ended at 0.58 s, before the last of them had come, and what came after the giving up had nobody to end it. Lines: awaitStop, stopSlack. Change: planStop, pure: the end is the longest timeout (3 s at most) and 0.6 s, 0.1 s before the router may be killed; what is open is given up 0.2 s before that, or an eighth of the longest timeout where that is less. SIGTERM is awaited from the program's first step.

--- a/cmd/bankledge/main.go
+++ b/cmd/bankledge/main.go
@@ -38,6 +38,8 @@
 func (s *serve) Run() error {
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
 	signal.Ignore(syscall.SIGPIPE)
 	cfg, err := s.load()
 	if err != nil {
@@ -45,8 +47,6 @@
 	}
 	log, flush := newLog(s.Level)
 	defer flush()
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
 	g := gateway.New(cfg, log)
 	if s.Control != "" {
 		file, err := steer.Load(s.Control)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,9 +45,11 @@
 	clockBefore  = time.Hour             // the module's clock starts so long before the router
 	inboxSize    = 4096
 	reachPause   = 100 * time.Millisecond
-	lateComers   = time.Second     // after SIGTERM statements may come so long
-	stopMost     = 3 * time.Second // the longest statement timeout that a stop waits for
-	stopSlack    = 400 * time.Millisecond
+	lateComers   = time.Second            // after SIGTERM new connections are taken so long
+	granted      = 600 * time.Millisecond // after SIGTERM statements may come so long, on whatever connection
+	stopMost     = 3 * time.Second        // the longest statement timeout that a stop waits for
+	lastAnswers  = 200 * time.Millisecond // for the answers of what is given up at the end of a stop
+	answerPart   = 8                      // but no more than one part in so many of the longest statement timeout
 	stopLook     = 10 * time.Millisecond
 	reportsEvery = 5 * time.Second // lines of figures in the log
 )
@@ -255,15 +257,12 @@
 		return nil
 	case <-stop.Done():
 	}
-	longest := time.Duration(0)
-	for _, w := range g.cfg.Opening.Workloads {
-		longest = max(longest, w.StatementTimeout)
-	}
-	began, within := time.Now(), min(longest, stopMost)+stopSlack
-	g.log.Info("stopping", zap.Duration("within", within))
+	plan := planStop(g.cfg.Opening.Workloads)
+	began := time.Now()
+	g.log.Info("stopping", zap.Duration("within", plan.end))
 	g.stopping.Store(true)
 	g.front.Stop()
-	g.route.post(input{event: decision.Stopping{Within: within - stopSlack/2}})
+	g.route.post(input{event: decision.Stopping{Within: plan.giveUp}})
 	for {
 		select {
 		case <-ctx.Done():
@@ -274,12 +273,31 @@
 		if past > lateComers {
 			listener.Close()
 		}
-		if past > within || past > lateComers && g.figures.open.Load() == 0 && g.front.Queued() == 0 {
+		if plan.over(past, g.figures.open.Load() == 0 && g.front.Queued() == 0) {
 			return nil
 		}
 	}
 }
 
+// stopPlan is when, after SIGTERM, what is open then is given up, and when the router ends whatever is open.
+type stopPlan struct{ giveUp, end time.Duration }
+
+// planStop works a stop out from the workloads' statement timeouts. What comes at the end of the time in which statements may
+// still come has its whole time: the router ends a statement timeout later, which is before it would be killed, however short that is.
+func planStop(workloads []decision.Workload) stopPlan {
+	longest := time.Duration(0)
+	for _, w := range workloads {
+		longest = max(longest, w.StatementTimeout)
+	}
+	end := min(longest, stopMost) + granted
+	return stopPlan{giveUp: end - min(lastAnswers, longest/answerPart), end: end}
+}
+
+// over tells whether a stop has ended: nothing is open and nothing can come any more, or its time is up.
+func (p stopPlan) over(past time.Duration, idle bool) bool {
+	return past > p.end || past > lateComers && idle
+}
+
 // now is the module's clock.
 func (g *Gateway) now() time.Duration { return time.Since(g.origin) }
 
