A router whose first engines are all gone by now still becomes ready

Seen while reading: reach tried the engines of the configuration for ever; where all of these had been replaced before one was reached, the router was never ready though the feed told of others. Change: each round tries the engines that are listed then.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -66,6 +66,9 @@
 // Drain keeps what waits for a connection to an engine from being sent there; what is out goes on.
 func (b *Back) Drain(engine decision.EngineID) { b.pool.drain(engine) }
 
+// Engines are those that are listed, in order.
+func (b *Back) Engines() []decision.EngineID { return b.pool.engines() }
+
 // Forget drops what is kept of an engine that is gone.
 func (b *Back) Forget(engine decision.EngineID) { b.pool.forget(engine) }
 
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"os"
 	"slices"
@@ -182,6 +183,12 @@
 	return p.address[engine] == address && !p.drains[engine]
 }
 
+func (p *pool) engines() []decision.EngineID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.address))
+}
+
 // hold and letGo count the executions that are out at an engine.
 func (p *pool) hold(engine decision.EngineID) {
 	p.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,7 +130,7 @@
 	group.Go(func() error { return g.front.Serve(ctx, listener) })
 	group.Go(func() error { return follow.Follow(ctx) })
 	group.Go(func() error { return g.awaitReload(ctx, reload, load, follow) })
-	group.Go(func() error { return g.reach(ctx, known) })
+	group.Go(func() error { return g.reach(ctx) })
 	group.Go(func() error { return g.report(ctx) })
 	if s := g.route.steering; s != nil {
 		group.Go(func() error {
@@ -211,9 +211,10 @@
 }
 
 // reach finds out at the start whether engines can be reached: one is enough.
-func (g *Gateway) reach(ctx context.Context, engines []decision.EngineID) error {
+func (g *Gateway) reach(ctx context.Context) error {
 	for !g.reached.Load() && ctx.Err() == nil {
-		for i := range engines { // hundreds of routers that start begin at different ones
+		engines := g.back.Engines() // those at the start may all be gone by now
+		for i := range engines {    // hundreds of routers that start begin at different ones
 			if e := engines[(i+int(g.cfg.Seed%uint64(len(engines))))%len(engines)]; g.back.Reach(ctx, e) == nil {
 				g.reached.Store(true)
 				break // a connection to each would be a handshake storm at every engine, for none of which there is work yet
