What a member group's statements have shown is kept apart from others'

Seen while reading: shapes of statements were known by their text alone, so how one member group's statements ran decided how another's of the same shape were treated (as another workload, with another's importance and expected work). Change: the shape's key holds the group. Workloads' paces, which are the engines', stay common.

--- a/internal/gateway/look.go
+++ b/internal/gateway/look.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"bankledge/decision"
@@ -20,6 +21,9 @@
 	if s.built = nil; built == nil || r.gateway.cfg.AsDeclared {
 		return
 	}
+	if built.Shape != 0 { // what one member group's statements have shown says nothing of another's
+		built.Shape ^= xxhash.Sum64String(string(ev.Group))
+	}
 	v := r.looks.Look(now, ev.Workload, ev.Estimate, ev.NeedMB, built, &s.sight)
 	if v.As != ev.Workload || v.Work > 0 || v.MemoryMB > 0 || v.Writes || len(v.Others) > 0 {
 		ev.Looks = &decision.Looks{As: v.As, Work: v.Work, NeedMB: v.MemoryMB, Writes: v.Writes, Others: v.Others}
