One connection that does not come up is no lost engine

Ruled out: pools (0 idle ones closed), full engines (0), retries (none pending). Lines: NotConnected in ended and probed call leave(e, lost), and whoever was lost comes back as if it had started anew (back sets StartedAt), so each late connection cost an engine its capacity for as long as it takes to warm. Change: lost is who does not come up at a trial either, after a rest.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -591,6 +591,10 @@
 	}
 }
 
+// triedAgain: it was left already and had its rest. One connection that does not come up may only be late: who is lost for
+// that comes back as if it had started anew, and takes next to nothing for as long as that takes to warm.
+func (m *Module) triedAgain(e *engine) bool { return e.Left && m.now >= e.LeftUntil }
+
 // jammed: all routers together hold so much there that little of it ends. If each looked again when its sight
 // had faded, that alone would keep it so: it is left, and tried after a growing while.
 func (m *Module) jammed(e *engine) bool { return e.Held() > jamMost*crowdMost*e.Cores*m.warmth(e) }
@@ -626,7 +630,7 @@
 	if e := m.fleet.Of(ev.Engine); e != nil {
 		e.Probing = false
 		if m.report(e, ev.Report); ev.Outcome == decision.NotConnected {
-			m.leave(e, true)
+			m.leave(e, m.triedAgain(e))
 		} else if ev.Outcome == decision.TimedOut { // too busy to answer a probe: as good as full
 			e.Reported, e.Others, e.Counted = m.now, crowdMost*e.Cores, m.now
 		}
@@ -723,7 +727,7 @@
 		w.Refusals, w.Barred = w.Refusals+1, true
 		m.due.At(m.now+reportPeriod, func() { w.Barred = false })
 	case decision.NotConnected:
-		m.leave(e, true)
+		m.leave(e, m.triedAgain(e))
 	case decision.Reset: // a crash breaks all that is out; a flaky link only some, and is no reason to leave
 		if len(e.Execs) == 0 {
 			m.leave(e, false)
