--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -219,3 +219,23 @@
 		assert.Equal(t, c.want, leftIn(c.read, c.next), c.name)
 	}
 }
+
+// What the kernel holds for a client that has not taken it in counts as queued: a stop that ended now might have it dropped.
+func TestWhatIsNotTakenInIsQueued(t *testing.T) {
+	f, k, address := serve(t)
+	small := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 2048) })
+	}}
+	c, err := small.Dial("tcp", address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write(frameOf(1))
+	require.NoError(t, err)
+	conn, body := await(t, k.took), bytes.Repeat([]byte("row\n"), 12_000)
+	conn.Answer(1, CodeCompleted, body)
+	require.Eventually(t, conn.settled, patience, time.Millisecond, "it is with the kernel")
+	assert.Positive(t, f.Queued())
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	assert.Equal(t, body, readFrame(t, bufio.NewReader(c)).payload[2:])
+	require.Eventually(t, func() bool { return f.Queued() == 0 }, patience, time.Millisecond)
+}
