Tests of stops over sockets: short timeouts, engines that hang, what is not read yet, not ready

Need: the crossings of a stop are forced with the real program. Four tests: timeouts of 180 ms, where all that is sent within 0.6 s of SIGTERM has its answer on old and new connections; half of the engines hung, the sign twice with SIGHUP between and a statement's last byte behind it; statements in the accept backlog and in buffers (the program stopped meanwhile); a sign before the router is ready.

--- /dev/null
+++ b/cmd/bankledge/stop_test.go
@@ -0,0 +1,208 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bankledge/internal/standin"
+)
+
+// startWith starts the program with settings of one's own and waits until it is ready.
+func startWith(t *testing.T, settings string, engines ...*engine) *router {
+	var members []string
+	for _, e := range engines {
+		members = append(members, member(e, "active"))
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, standin.Config(newControl(t).Server.Listener.Addr().String(), settings, 64, 256, members...), 0o600))
+	r := &router{cmd: exec.Command(program, "serve"), config: path, log: &lockedLog{}, ended: make(chan error, 1)}
+	r.cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
+	r.run(t)
+	c, err := standin.Dial(r.listen)
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.AwaitReady(patience))
+	return r
+}
+
+// shortest are settings of which every time is shorter than what a stop leaves to late comers.
+var shortest = strings.NewReplacer("15000000,\"gain", "150000,\"gain", "25000000,\"gain", "180000,\"gain", "4000000,\"gain", "180000,\"gain").Replace(standin.Settings)
+
+// With statement timeouts far below what a stop leaves to late comers, all that is sent within 0.6 s of SIGTERM has its answer, on connections
+// from before and on new ones.
+func TestStopWithShortTimeouts(t *testing.T) {
+	require.Contains(t, shortest, `"deadline":180000,"gain":10`)
+	const granted = 600 * time.Millisecond
+	e := newEngine(t, "one", map[string][]step{"POST": {done("fine\n")}})
+	r := startWith(t, shortest, e)
+	go func() { // it is heard thousands of times
+		for range e.Heard() {
+		}
+	}()
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	began, answered := time.Time{}, 0
+	old := make([]net.Conn, 4)
+	for i := range old {
+		old[i] = dial(t, r)
+	}
+	began = time.Now()
+	r.stop(t)
+	for n, c := range append(old, make([]net.Conn, 4)...) {
+		wait.Go(func() {
+			for i := range 1000 {
+				if c == nil || n >= len(old) { // a new connection for each
+					if c != nil {
+						c.Close()
+					}
+					var err error
+					if c, err = net.Dial("tcp", r.listen); err != nil {
+						assert.Greater(t, time.Since(began), granted)
+						return
+					}
+				}
+				sent := time.Since(began)
+				text := statement("lookup", n*1000+i, "d", "180", "t", "-")
+				_, err := c.Write(standin.Frame(7, uint32(i+1), text))
+				for reader := bufio.NewReader(c); err == nil; {
+					var kind byte
+					if kind, _, _, _, err = standin.ReadFrame(reader); kind == 8 {
+						break
+					}
+				}
+				if err != nil {
+					assert.Greater(t, sent, granted, "sent in time and not answered: %v", err)
+					return
+				}
+				mu.Lock()
+				answered++
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	r.awaitEnd(t)
+	assert.Positive(t, answered)
+	t.Log(answered, "answers; ended after", time.Since(began))
+}
+
+// Half of the engines hang when the sign comes, and it comes twice, with a reload between: a statement of which the last byte comes after the
+// sign is answered, what may have run is aborted, each once and before the connection ends.
+func TestStopWhileEnginesHang(t *testing.T) {
+	hung := newEngine(t, "hung", map[string][]step{"POST": {says(202, "")}, "GET 0": {silent}, "DELETE": {silent}})
+	well := newEngine(t, "well", map[string][]step{"POST": {says(202, "")}, "GET 0": {silent}, "DELETE": {says(204, "")}})
+	settings := strings.NewReplacer("15000000,\"gain", "900000,\"gain", "25000000,\"gain", "900000,\"gain", "4000000,\"gain", "900000,\"gain").Replace(standin.Settings)
+	r := startWith(t, settings, hung, well)
+	c := dial(t, r)
+	const n = 16
+	for stream := range uint32(n) {
+		c.send(7, stream+1, statement("price-load", int(stream), "d", "20000", "t", "-"))
+	}
+	for out := 0; out < 2; { // some are out at either
+		select {
+		case <-hung.Heard():
+			out++
+		case <-well.Heard():
+			out++
+		case <-time.After(patience):
+			t.Fatal("nothing is sent")
+		}
+	}
+	well.Script(map[string][]step{"POST": {done("late\n")}, "GET 0": {silent}, "DELETE": {says(204, "")}})
+	late := dial(t, r)
+	frame := standin.Frame(7, 1, statement("lookup", 100, "d", "900", "t", "-"))
+	_, err := late.Write(frame[:len(frame)-1])
+	require.NoError(t, err)
+	r.stop(t)
+	kind, _, _, _ := late.read() // the sign has come
+	require.Equal(t, byte(3), kind)
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGHUP))
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGTERM))
+	_, err = late.Write(frame[len(frame)-1:])
+	require.NoError(t, err)
+	for { // its answer, whatever it is, and no second one
+		kind, stream, _, _, err := standin.ReadFrame(late.r)
+		require.NoError(t, err)
+		if kind == 8 {
+			assert.Equal(t, uint32(1), stream)
+			break
+		}
+	}
+	answers := map[uint32]byte{}
+	for {
+		kind, stream, code, _, err := standin.ReadFrame(c.r)
+		if err != nil {
+			require.ErrorIs(t, err, io.EOF, "an end, no reset")
+			break
+		}
+		if kind == 8 {
+			require.NotContains(t, answers, stream)
+			answers[stream] = code
+		}
+	}
+	assert.Len(t, answers, n)
+	assert.Contains(t, fmt.Sprint(answers), "51", "what may have run is aborted")
+	r.awaitEnd(t)
+	assert.Equal(t, 1, strings.Count(r.log.String(), `"msg":"stopping"`))
+	assert.Equal(t, 1, strings.Count(r.log.String(), "configuration read again"))
+}
+
+// What waits in the accept backlog or in an accepted connection's buffer when the sign comes is answered.
+func TestStopWithStatementsNotReadYet(t *testing.T) {
+	e := newEngine(t, "one", map[string][]step{"POST": {done("fine\n")}})
+	r := startWith(t, standin.Settings, e)
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGSTOP)) // neither read nor accepted from here on
+	var conns []*client
+	for i := range 20 {
+		c := dial(t, r)
+		c.send(7, 1, statement("lookup", i, "t", "-"))
+		conns = append(conns, c)
+	}
+	r.stop(t)
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGCONT))
+	for _, c := range conns {
+		for {
+			kind, _, code, body := c.read()
+			if kind == 8 {
+				assert.Equal(t, []any{byte(20), "fine\n"}, []any{code, body})
+				break
+			}
+		}
+	}
+	r.awaitEnd(t)
+}
+
+// A sign that comes before the router is ready, even before it serves, ends it in the ordinary way.
+func TestStopBeforeReady(t *testing.T) {
+	e := newEngine(t, "gone", nil)
+	e.Close()
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, standin.Config(newControl(t).Server.Listener.Addr().String(), standin.Settings, 64, 256, member(e, "active")), 0o600))
+	r := &router{cmd: exec.Command(program, "serve"), config: path, log: &lockedLog{}, ended: make(chan error, 1)}
+	r.cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
+	r.run(t)
+	c := dial(t, r)
+	c.send(1, 0, "\x00")
+	kind, _, code, _ := c.read()
+	assert.Equal(t, []any{byte(2), byte(50)}, []any{kind, code})
+	c.send(7, 1, statement("lookup", 1, "t", "-"))
+	r.stop(t)
+	for kind != 8 {
+		kind, _, code, _ = c.read()
+	}
+	assert.Equal(t, byte(50), code, "it never ran")
+	r.awaitEnd(t)
+}
