A repeat that its engines would not drop any more is not sent

A deduplicated statement that may have run goes again only within its window, which counts from when its first execution was sent. The module looked at that when it decided; the execution then waited for a descriptor and for its connection, for as long as the connect timeout, before its first byte went out (Execution.run, back/execution.go), so a repeat could come after the window with windows of the order of a connect timeout. Checked and ruled out: the order of decision and revocation, which holds; the first execution's time, which counts from its decision and so errs on the safe side. Now Execute names the time by which it has to begin; begin looks at it right before the first byte, and the wait for a connection ends with it, so the final answer comes at once.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -355,6 +355,7 @@
 		Statement StatementID
 		Engine    EngineID
 		Timeout   time.Duration // 0: until the client gives up
+		Before    time.Duration // when it has to begin by, on the module's clock; 0: at any time. Later it is never sent
 	}
 	// Cancel stops waiting for an execution.
 	Cancel struct {
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -136,6 +136,7 @@
 	Workload  string
 	Text      []byte
 	Until     time.Time // the router waits no longer
+	Before    time.Time // when it has to begin by; zero: at any time until then
 }
 
 // Execute starts an execution; the listener hears its notes and its one end.
--- a/internal/back/crossing_test.go
+++ b/internal/back/crossing_test.go
@@ -183,3 +183,46 @@
 	require.Error(t, err)
 	assert.Zero(t, b.Descriptors())
 }
+
+// An execution that repeats what may have run has to begin while that is remembered: one that has waited for longer, for a descriptor or
+// for its connection, or that comes to begin just then, is never sent.
+func TestNothingIsSentTooLate(t *testing.T) {
+	const soon = 20 * time.Millisecond
+	run := func(t *testing.T, wait func(b *Back), listener net.Listener) ends {
+		ended := make(ends, 1)
+		b := New(t.Context(), ended, 1, time.Minute, patience, zap.NewNop())
+		b.Know("e", listener.Addr().String(), true)
+		wait(b)
+		b.Execute(Order{Statement: "s", Engine: "e", Until: time.Now().Add(time.Minute), Before: time.Now().Add(soon)})
+		return ended
+	}
+	t.Run("waits for a descriptor", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		heard := calls(t, listener)
+		ended := run(t, func(b *Back) { require.NoError(t, b.pool.slot(t.Context())) }, listener)
+		assert.Equal(t, decision.NeverSent, await(t, ended).Outcome)
+		assert.Empty(t, heard)
+	})
+	t.Run("its connection is coming up", func(t *testing.T) {
+		listener, accept, err := standin.NotUp()
+		require.NoError(t, err)
+		ended := run(t, func(*Back) {}, listener)
+		assert.Equal(t, decision.NeverSent, await(t, ended).Outcome, "which says nothing of its engine")
+		accept()
+		assert.Empty(t, calls(t, listener))
+	})
+	t.Run("begins", func(t *testing.T) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		heard, ended := calls(t, listener), make(ends, 1)
+		b := New(t.Context(), ended, 4, time.Minute, patience, zap.NewNop())
+		b.Know("e", listener.Addr().String(), true)
+		x := &Execution{back: b, ctx: t.Context(), address: b.pool.of("e"), Order: Order{Statement: "s", Engine: "e", Until: time.Now().Add(time.Minute), Before: time.Now()}}
+		assert.False(t, x.begin())
+		x.Before = time.Now().Add(time.Minute)
+		assert.True(t, x.begin())
+		b.Execute(Order{Statement: "s", Engine: "e", Until: time.Now().Add(time.Minute), Before: time.Now().Add(time.Minute)})
+		assert.Equal(t, "POST", await(t, heard))
+	})
+}
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -53,15 +53,19 @@
 	return true
 }
 
-// begin marks an execution as started, unless it was revoked or given up, or its engine has been told to take nothing new. From
+// begin marks an execution as started, unless it was revoked or given up, it is too late to begin, or its engine has been told to take
+// nothing new. From
 // here on the engine may run it: when it was last asked for it is known before anyone can find it started, since
 // whoever calls it off counts from there.
 func (x *Execution) begin() bool {
 	x.asked.Store(time.Now().UnixNano())
-	return x.back.pool.mayBegin(x.Engine, x.address) && x.stage.CompareAndSwap(waiting, started) &&
+	return x.back.pool.mayBegin(x.Engine, x.address) && !x.tooLate() && x.stage.CompareAndSwap(waiting, started) &&
 		x.ctx.Err() == nil // lapsed may have looked before it was started
 }
 
+// tooLate tells whether it must not begin any more.
+func (x *Execution) tooLate() bool { return !x.Before.IsZero() && !time.Now().Before(x.Before) }
+
 // GiveUp waits for an execution no longer. Its end is told when it is out no longer, which takes a call to
 // the engine, unless another end comes first.
 func (x *Execution) GiveUp() {
@@ -120,9 +124,15 @@
 			outcome, result, known = decision.Errored, nil, true
 		}
 	}()
-	c, err := x.back.pool.get(x.ctx, x.Engine, x.address, false)
+	wait := x.ctx // for a connection: no longer than it may still begin
+	if !x.Before.IsZero() {
+		by, done := context.WithDeadline(x.ctx, x.Before)
+		defer done()
+		wait = by
+	}
+	c, err := x.back.pool.get(wait, x.Engine, x.address, false)
 	if err != nil {
-		if x.ctx.Err() != nil || !time.Now().Before(x.Until) || errors.Is(err, errNoSlot) || errors.Is(err, errNoEngine) ||
+		if wait.Err() != nil || x.tooLate() || !time.Now().Before(x.Until) || errors.Is(err, errNoSlot) || errors.Is(err, errNoEngine) ||
 			errors.Is(err, syscall.ECONNRESET) {
 			return decision.NeverSent, nil, true // says nothing of the engine
 		}
--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -162,6 +163,49 @@
 	}
 }
 
+// A deduplicated statement that may have run goes to another engine only while its first execution is remembered: where the connection
+// there comes up later than that, nothing is sent, and its client hears so when the time is over.
+func TestARepeatIsNotSentAfterItsWindow(t *testing.T) {
+	listener, accept, err := standin.NotUp()
+	require.NoError(t, err)
+	defer listener.Close()
+	fail := make(chan struct{})
+	first := standin.NewEngine("first", map[string][]standin.Step{"POST": {standin.Says(202, "")}, "GET 0": {standin.After(fail, standin.Says(500, ""))}})
+	f := standin.NewControl()
+	t.Cleanup(func() { f.Close(); first.Close() })
+	settings := strings.NewReplacer(`"connectTimeout":250000`, `"connectTimeout":20000000`,
+		`"name":"lookup","idempotency":"idempotent"`, `"name":"lookup","idempotency":"deduplicated","group":"all","window":700000`).Replace(standin.Settings)
+	require.Contains(t, settings, "700000")
+	r := run(t, standin.Config(f.Server.Listener.Addr().String(), settings, 64, 256, at(first, "active")))
+	c := r.sends(t, "lookup", "1")
+	r.await(t, "it is out", func() bool { return first.Count("POST") == 1 })
+	f.Events <- change(2, at(first, "leaving"), standin.Member("slow", listener.Addr().String(), "active"))
+	<-f.Asked
+	f.Events <- "" // asked on from there: it was taken
+	require.Equal(t, "2", <-f.Asked)
+	close(fail)
+	r.await(t, "it goes again", func() bool { return r.figures.executions.Load() == 2 })
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(patience/3))) // well before its client gives up
+	kind, _, code, _, err := standin.ReadFrame(bufio.NewReader(c))
+	require.NoError(t, err)
+	assert.Equal(t, []byte{8, 50}, []byte{kind, code}, "who drops its repeats may be asked again")
+	accept()
+	go func() {
+		for {
+			up, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if n, _ := up.Read(make([]byte, 1)); n > 0 {
+				t.Error("it was sent after its window")
+			}
+		}
+	}()
+	r.await(t, "all has ended", func() bool {
+		return r.figures.outcomes[decision.NeverSent].Load() == 1 && r.figures.open.Load() == 0
+	})
+}
+
 func at(e *standin.Engine, phase string) string {
 	return standin.Member(e.ID, e.Server.Listener.Addr().String(), phase)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -61,6 +61,9 @@
 	}
 	order := back.Order{Statement: s.id, Execution: decision.ExecutionID(len(s.execs)), Engine: a.Engine,
 		Workload: s.workload, Text: s.text, Until: until}
+	if a.Before > 0 {
+		order.Before = r.gateway.origin.Add(a.Before)
+	}
 	s.out++
 	r.gateway.figures.executions.Add(1)
 	s.execs = append(s.execs, r.gateway.back.Execute(order))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -367,11 +367,15 @@
 	if m.isCold(e) {
 		e.ColdSent.Add(m.now, s.Work)
 	}
+	x := decision.Execute{Statement: s.ID, Engine: e.Engine}
+	if s.Home != nil && s.Effect == decision.Deduplicated { // the host may be slow to send it
+		x.Before = s.Home.Sent + s.Workload.DedupWindow
+	}
 	m.execs++
 	e.Holds(s, m.now, m.need(s))
 	e.Touch(s.Tables, warmGroups)
 	m.setTerms(s)
-	m.do(decision.Execute{Statement: s.ID, Engine: e.Engine})
+	m.do(x)
 }
 
 // ---- Windows ----
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -167,6 +167,31 @@
 	}
 }
 
+// What may have run is remembered for its window from when it was sent: a host that is slow to send its next execution must not send it later.
+func TestARepeatHasToBeginWithinItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		effect decision.Effect
+		first  decision.Outcome
+		want   time.Duration
+	}{
+		{"deduplicated", decision.Deduplicated, decision.Reset, 500*ms + time.Second},
+		{"the first never ran", decision.Deduplicated, decision.Full, 0},
+		{"idempotent", decision.Idempotent, decision.Reset, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t)
+			b.wlms[0].Effect, b.wlms[0].DedupWindow, b.wlms[0].SLO = c.effect, time.Second, 3*time.Second
+			first := pick[decision.Execute](b.at(500*ms, ready("a", "b"), read("s")))
+			require.Len(t, first, 1)
+			assert.Zero(t, first[0].Before, "it repeats nothing")
+			again := pick[decision.Execute](b.at(600*ms, end("s", 0, first[0].Engine, c.first)))
+			require.Len(t, again, 1)
+			assert.Equal(t, c.want, again[0].Before)
+		})
+	}
+}
+
 func TestPlacesThatRulesForbid(t *testing.T) {
 	for _, c := range []struct {
 		name   string
