The budget of further executions holds as engines see it, whatever the host's lag

An execution counts against the budget when it is decided (furtherLeft in the module); on sockets it is sent up to a connect timeout later, so executions of two windows could fall into one, and statements that counted could be out of it by then. Looked for elsewhere: the cold budget has 500 ms of margin already, drains are looked at before the first byte, order by key waits for ends.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -116,8 +116,9 @@
 	MaxRetryAdvice time.Duration // the longest that clients heed, 0: advice is not allowed
 	MaxExecutions  int
 	MaxOpen        int
-	MaxOut         int  // executions that the host can hold at once, 0: any number
-	ListOnRequest  bool // changes to the engine list come only when asked for
+	MaxOut         int           // executions that the host can hold at once, 0: any number
+	SendLag        time.Duration // that may pass from the decision to execute until it is sent, at most
+	ListOnRequest  bool          // changes to the engine list come only when asked for
 	ListAskedEvery time.Duration
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -82,6 +82,7 @@
 	engines := cfg.Limits.Sockets - cfg.Limits.Sockets/clientShare - ownSockets
 	o.Identity.Tick = max(o.Identity.Tick, wakeTime)
 	o.Limits.MaxOut = int(outShare * float64(engines))
+	o.Limits.SendLag = o.Sockets.ConnectTimeout + wakeTime
 	g := &Gateway{cfg: cfg, log: log, engines: engines, serving: make(chan net.Addr, 1), origin: time.Now().Add(-clockBefore),
 		workloads: map[string]decision.WorkloadID{}, groups: map[decision.MemberGroup]bool{}}
 	g.readers.New = func() any { return new(sqltext.Analyser) }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -454,11 +454,12 @@
 		s.Effect == decision.Deduplicated && s.Workload.DedupScope == decision.ScopeAll
 }
 
-// furtherLeft: a statement taken just a window ago no longer counts, an execution sent then still does.
+// furtherLeft: a statement taken just a window ago no longer counts, an execution sent then still does. The host
+// may be late with either by its lag: executions count for longer by it, statements for less.
 func (m *Module) furtherLeft(s *statement) bool {
-	window := m.rules.FurtherWindow
-	return window == 0 || len(s.Execs) == 0 ||
-		m.further.Over(m.now-window)+1 <= m.rules.FurtherFree+m.rules.FurtherShare*m.taken.Over(m.now-window+1)
+	from := m.now - m.rules.FurtherWindow
+	return m.rules.FurtherWindow == 0 || len(s.Execs) == 0 || m.further.Over(from-m.limits.SendLag)+1 <=
+		m.rules.FurtherFree+m.rules.FurtherShare*m.taken.Over(from+m.limits.SendLag+1)
 }
 
 // inTurn: a key's statements run one at a time, in the order they were taken.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"testing"
@@ -336,6 +337,52 @@
 	assert.Equal(t, 3, further())
 }
 
+// A host that is late sends within its lag, in whatever order: the budget holds in every window as the engines see it.
+func TestFurtherExecutionsWithinBudgetWhateverTheHostsLag(t *testing.T) {
+	for seed := range uint64(20) {
+		b := newBed(t)
+		b.rules.FurtherWindow, b.rules.FurtherFree, b.rules.FurtherShare = 2*time.Second, 2, 0.2
+		b.limits.SendLag = 300 * ms
+		b.at(0, ready("a", "b", "c"))
+		chance := rand.New(rand.NewPCG(seed, 1))
+		var taken, sent []time.Duration // sent: further ones, when an engine sees them
+		first := map[decision.StatementID]bool{}
+		var due []decision.ExecutionEnded
+		for i := range 3000 {
+			now := time.Duration(i) * 5 * ms
+			var events []decision.Event
+			if busy := i/500%2 == 0; chance.Float64() < map[bool]float64{true: 0.3, false: 0.02}[busy] {
+				taken, events = append(taken, now), append(events, read(decision.StatementID(fmt.Sprint(i))))
+			}
+			for _, e := range due {
+				events = append(events, e)
+			}
+			due = due[:0]
+			b.at(now, events...)
+			for _, x := range pick[decision.Execute](b) {
+				if first[x.Statement] {
+					sent = append(sent, now+time.Duration(chance.Int64N(int64(b.limits.SendLag))))
+				}
+				first[x.Statement] = true
+				due = append(due, end(x.Statement, decision.ExecutionID(len(b.m.stmts[x.Statement].Execs)-1), x.Engine, decision.Errored))
+			}
+		}
+		slices.Sort(sent)
+		require.NotEmpty(t, sent)
+		within := func(list []time.Duration, at time.Duration) (n float64) {
+			for _, x := range list {
+				if x > at-b.rules.FurtherWindow && x <= at {
+					n++
+				}
+			}
+			return n
+		}
+		for _, at := range sent {
+			require.LessOrEqual(t, within(sent, at), 2+0.2*within(taken, at), "seed %d, at %v", seed, at)
+		}
+	}
+}
+
 func TestAnswerClock(t *testing.T) {
 	for _, c := range []struct {
 		name   string
