--- a/policy/policy.go
+++ b/policy/policy.go
@@ -454,8 +454,8 @@
 		s.Effect == decision.Deduplicated && s.Workload.DedupScope == decision.ScopeAll
 }
 
-// furtherLeft: a statement taken just a window ago no longer counts, an execution sent then still does. The host
-// may be late with either by its lag: executions count for longer by it, statements for less.
+// furtherLeft: a statement taken just a window ago no longer counts, an execution sent then still does. The
+// host may be late by its lag: executions count for longer by it, statements for less.
 func (m *Module) furtherLeft(s *statement) bool {
 	from := m.now - m.rules.FurtherWindow
 	return m.rules.FurtherWindow == 0 || len(s.Execs) == 0 || m.further.Over(from-m.limits.SendLag)+1 <=
@@ -596,8 +596,8 @@
 	}
 }
 
-// triedAgain: it was left already and had its rest. One connection that does not come up may only be late: who is lost for
-// that comes back as if it had started anew, and takes next to nothing for as long as that takes to warm.
+// triedAgain: it was left already and had its rest. One connection that does not come up may only be late: who is
+// lost for that comes back as if it had started anew, and takes next to nothing for as long as that takes to warm.
 func (m *Module) triedAgain(e *engine) bool { return e.Left && m.now >= e.LeftUntil }
 
 // jammed: all routers together hold so much there that little of it ends. If each looked again when its sight
