Who sends what cannot be used and goes is heard before all that is read

A client that opens more than 32 statements at once and goes is such a one. Now each pause is followed by a look at what lies unread (without taking it): words that nobody waits, through 64 KiB, and the end of the connection, whatever lies before it. The same look serves clients that are not read from, which saw 4 KiB so far; its buffers are pooled, and nothing is copied to find frames.

--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -6,6 +6,8 @@
 	"context"
 	"io"
 	"net"
+	"slices"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -28,27 +30,31 @@
 	nobody
 	took  chan *Conn
 	left  chan uint32
-	asked chan struct{} // whether it is ready
+	asked chan struct{}               // whether it is ready
+	hears atomic.Pointer[func(*Conn)] // called before it takes a word that somebody has left
 }
 
-func (k taker) Ready() bool {
+func (k *taker) Ready() bool {
 	k.asked <- struct{}{}
 	return true
 }
 
-func (k taker) TakeIn(c *Conn, _ uint32, _ Fields, _ []byte) bool {
+func (k *taker) TakeIn(c *Conn, _ uint32, _ Fields, _ []byte) bool {
 	k.took <- c
 	return true
 }
 
-func (k taker) Left(_ *Conn, streams []uint32) {
+func (k *taker) Left(c *Conn, streams []uint32) {
+	if hears := k.hears.Load(); hears != nil {
+		(*hears)(c)
+	}
 	for _, stream := range streams {
 		k.left <- stream
 	}
 }
 
-func serve(t *testing.T) (*Front, taker, string) {
-	k := taker{took: make(chan *Conn, 100), left: make(chan uint32, 100), asked: make(chan struct{}, 100)}
+func serve(t *testing.T) (*Front, *taker, string) {
+	k := &taker{took: make(chan *Conn, 100), left: make(chan uint32, 100), asked: make(chan struct{}, 100)}
 	f := New(k, 10, 1<<20, account.Derive(64, 10), zap.NewNop())
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -131,6 +137,47 @@
 	})
 }
 
+// Who sends much that cannot be used and goes, or says that nobody waits, is heard before all that was read.
+func TestWhoSendsMuchAndGoes(t *testing.T) {
+	unfit := func(n, size int) (frames []byte) {
+		for range n {
+			frames = append(append(appendFrame(nil, 200, 0, size), make([]byte, size)...), frames...)
+		}
+		return frames
+	}
+	const much = 48 << 10 // a dozen reads, each after a pause
+	lost := append([]byte{0, 0, 0, 1}, make([]byte, much)...)
+	for _, c := range []struct {
+		name  string
+		sends []byte
+		goes  func(c net.Conn)
+		gone  bool // the kernel drops what it has sent with its connection
+	}{
+		{"frames of no use, half its end", append(unfit(100, 0), unfit(much/512, 512)...), func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }, false},
+		{"frames of no use, a reset", append(unfit(100, 0), unfit(much/4096, 4091)...), func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }, true},
+		{"frames of no use, a frame that says so", append(unfit(100, 0), unfit(much/4096, 4091)...), func(c net.Conn) { c.Write(appendFrame(nil, typeLeft, 1, 0)) }, false},
+		{"what is no frame, half its end", lost, func(c net.Conn) { c.(*net.TCPConn).CloseWrite() }, false},
+		{"what is no frame, a reset", lost, func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() }, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			_, k, address := serve(t)
+			unread := make(chan int, 1)
+			hears := func(c *Conn) { unread <- c.unread() }
+			k.hears.Store(&hears)
+			client := dial(t, address)
+			_, err := client.Write(append(frameOf(1), c.sends...))
+			require.NoError(t, err)
+			await(t, k.took)
+			c.goes(client)
+			if left := await(t, unread); !c.gone {
+				assert.Greater(t, left, much/2, "it was not read to its end before that was heard")
+			}
+			assert.Equal(t, uint32(1), await(t, k.left))
+		})
+	}
+}
+
 // A client from which nothing is read, since it takes nothing in, may leave like any other.
 func TestWhoIsNotReadFromMayLeave(t *testing.T) {
 	for _, how := range []struct {
@@ -214,6 +261,10 @@
 		{"behind a statement", frameOf(3), left(1), []uint32{1}},
 		{"cut between what was read and what was not", left(7)[:5], append(left(7)[5:], left(8)...), []uint32{7, 8}},
 		{"not whole", nil, left(1)[:8], nil},
+		{"whole but for its last bytes", left(1)[:3], left(1)[3:8], nil},
+		{"in what was read", slices.Concat(left(1), left(2)[:4]), slices.Concat(left(2)[4:], frameOf(3), left(4)), []uint32{1, 2, 4}},
+		{"behind a frame that ends where what was read ends", frameOf(3), slices.Concat(frameOf(4), left(5)), []uint32{5}},
+		{"longer than may be", nil, append([]byte{0xff, 0xff, 0xff, 0xff, typeLeft, 0, 0, 0, 1}, left(1)...), nil},
 		{"behind what is no frame", []byte{0, 0, 0, 1}, left(1), nil},
 	} {
 		assert.Equal(t, c.want, leftIn(c.read, c.next), c.name)
--- a/internal/front/frame.go
+++ b/internal/front/frame.go
@@ -63,15 +63,23 @@
 
 // leftIn is the streams that nobody waits for any more, by the whole frames in what was read and what follows it.
 func leftIn(read, next []byte) (streams []uint32) {
-	for raw := slices.Concat(read, next); ; {
-		f, size, err := parseFrame(raw)
-		if err != nil || size == 0 {
+	for {
+		head := read // of the frame that begins in read and may end in next
+		if len(head) < headBytes+leastLength {
+			head = slices.Concat(read, next[:min(len(next), headBytes+leastLength-len(read))])
+		}
+		size := frameSize(head)
+		if len(head) < headBytes+leastLength || size < headBytes+leastLength || size > headBytes+mostLength || size > len(read)+len(next) {
 			return streams
 		}
-		if f.kind == typeLeft {
-			streams = append(streams, f.stream)
+		if head[headBytes] == typeLeft {
+			streams = append(streams, binary.BigEndian.Uint32(head[headBytes+1:]))
+		}
+		if size < len(read) {
+			read = read[size:]
+		} else {
+			read, next = next[size-len(read):], nil
 		}
-		raw = raw[size:]
 	}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -36,7 +36,7 @@
 	spillLook                = 20 * time.Millisecond
 	freshTime                = 500 * time.Millisecond // a connection so new may have its first statement on its way
 	restedTime               = time.Second            // and one that was idle for less its next
-	gonePeek                 = 4 << 10                // bytes looked through for a word that nobody waits, of what is not read
+	gonePeek                 = 64 << 10               // bytes looked through for a word that nobody waits, of what is not read
 	goneLook                 = 50 * time.Millisecond
 
 	unfitPause     = 2 * time.Millisecond // before reading on, for each frame so far that could not be used
@@ -66,6 +66,7 @@
 	slots chan struct{} // one for each connection that may be held
 	room  atomic.Int64  // bytes left for large frames that have not come whole
 	start time.Time     // of the accounts' clock
+	peeks sync.Pool     // of buffers to look through what is not read
 
 	booking sync.Mutex // guards the accounts; innermost
 	book    *account.Book
@@ -86,6 +87,7 @@
 func New(taker Taker, most int, room int64, limits account.Limits, log *zap.Logger) *Front {
 	f := &Front{taker: taker, log: log, start: time.Now(), book: account.NewBook(limits), slots: make(chan struct{}, most), conns: map[*Conn]struct{}{}}
 	f.room.Store(room)
+	f.peeks.New = func() any { return new([gonePeek]byte) }
 	return f
 }
 
@@ -323,25 +325,45 @@
 	return left, ok
 }
 
-// glance looks, without taking anything, at what a client has sent that is not read from: whether its connection has ended, and
-// which streams nobody waits for any more. Who sends and does not take in may leave like anyone else.
-func (c *Conn) glance(pending []byte, scratch []byte) (ended bool) {
+// unread is how many bytes the kernel holds that were not read yet.
+func (c *Conn) unread() (n int) {
+	c.control(func(fd int) {
+		if held, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil {
+			n = held
+		}
+	})
+	return n
+}
+
+// glance looks, without taking anything, at what a client has sent that is not read from, or not as fast as it comes: whether its
+// connection has ended, and which streams nobody waits for any more. Who sends and does not take in, or sends what cannot be used, may
+// leave like anyone else.
+func (c *Conn) glance(pending []byte) (ended bool) {
+	scratch := c.front.peeks.Get().(*[gonePeek]byte)
+	defer c.front.peeks.Put(scratch)
 	n := 0
 	c.control(func(fd int) {
 		var err error
-		n, _, err = unix.Recvfrom(fd, scratch, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, err = unix.Recvfrom(fd, scratch[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		if n = max(n, 0); err != nil {
 			ended = !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
 		} else if n == 0 {
 			ended = true
 		}
-		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil { // its end may lie behind bytes not read
-			ended = ended || info.State == tcpClose || info.State == tcpCloseWait
-		}
 	})
 	for _, stream := range leftIn(pending, scratch[:n]) {
 		c.leaves(stream)
 	}
+	return ended || c.hungUp()
+}
+
+// hungUp tells whether the client has ended its connection, also where that lies behind bytes not read.
+func (c *Conn) hungUp() (ended bool) {
+	c.control(func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			ended = info.State == tcpClose || info.State == tcpCloseWait
+		}
+	})
 	return ended
 }
 
@@ -527,6 +549,9 @@
 		}
 		if unfit > 0 { // the answers are on their way; what cannot be used is read no faster than this
 			time.Sleep(min(unfitPauseMost, time.Duration(unfit)*unfitPause))
+			if c.glance(buf.Next()) {
+				return
+			}
 		}
 		if size := frameSize(buf.Next()); size > freeFrame && room == 0 {
 			if room = int64(size); c.front.room.Add(-room) < 0 {
@@ -570,7 +595,6 @@
 // awaitFlow waits while so much waits for the client that nothing is read from it. It tells whether it had to, and whether
 // the client has gone meanwhile.
 func (c *Conn) awaitFlow(pending []byte) (waited, gone bool) {
-	var scratch []byte
 	for {
 		c.mu.Lock()
 		stalled := c.stalled && !c.ended && c.released.IsZero()
@@ -578,10 +602,7 @@
 		if !stalled {
 			return waited, false
 		}
-		if waited = true; scratch == nil {
-			scratch = make([]byte, gonePeek)
-		}
-		if c.glance(pending, scratch) {
+		if waited = true; c.glance(pending) {
 			return waited, true
 		}
 		select {
@@ -614,6 +635,9 @@
 		if n > 0 { // no faster than what cannot be used
 			time.Sleep(unfitPauseMost)
 		}
+		if c.hungUp() { // whatever is left to be read
+			return
+		}
 	}
 }
 
