What comes on a connection that is being released is answered

Seen on reading: a client that takes its answers in too slowly is released, and its connection ends within a second; a statement that came whole in that second was dropped with no answer (Conn.begin returned errEnded as for a connection that has ended), though the protocol counts it as taken. It never ran, so it is rejected now, in few enough bytes to be queued whatever waits. Looked for elsewhere: frames behind an eviction are dropped too, which the protocol grants, since nothing is open there and the close crosses them; a stop takes in all that comes.

--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -178,6 +178,23 @@
 	}
 }
 
+// What comes on a connection that is released, before it ends, is answered: it was not taken in, so trying again is harmless.
+func TestWhatComesOnAReleasedConnection(t *testing.T) {
+	_, k, address := serve(t)
+	client := dial(t, address)
+	_, err := client.Write(frameOf(1))
+	require.NoError(t, err)
+	conn := await(t, k.took)
+	conn.mu.Lock()
+	conn.released = time.Now()
+	conn.mu.Unlock()
+	_, err = client.Write(frameOf(2))
+	require.NoError(t, err)
+	got := readFrame(t, bufio.NewReader(client))
+	assert.Equal(t, []any{byte(typeAnswer), uint32(2), byte(CodeRejected)}, []any{got.kind, got.stream, got.payload[0]})
+	assert.Empty(t, k.took)
+}
+
 // A client from which nothing is read, since it takes nothing in, may leave like any other.
 func TestWhoIsNotReadFromMayLeave(t *testing.T) {
 	for _, how := range []struct {
--- a/internal/front/frame_test.go
+++ b/internal/front/frame_test.go
@@ -93,8 +93,8 @@
 		_, _ = c.begin(10 + 2*i)
 		require.LessOrEqual(t, len(c.apart), mostApart)
 	}
-	full, err := c.begin(3_000_000_000)
-	assert.True(t, full && err == nil, "as many open as may be")
+	why, err := c.begin(3_000_000_000)
+	assert.True(t, why == "too many open statements" && err == nil, "as many open as may be: %q", why)
 	assert.Len(t, c.open, mostOpen)
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -687,7 +687,7 @@
 	case typeLeft:
 		c.leaves(f.stream)
 	case typeStatement:
-		full, err := c.begin(f.stream)
+		full, err := c.begin(f.stream) // why it is not taken in, if so
 		if errors.Is(err, errEnded) {
 			return
 		}
@@ -697,9 +697,9 @@
 		}
 		fields, text, err := parseFields(f.payload)
 		switch {
-		case full:
+		case full != "":
 			c.isUnfit()
-			c.queue(appendAnswer(nil, typeAnswer, f.stream, CodeRejected, []byte("too many open statements")), 0)
+			c.queue(appendAnswer(nil, typeAnswer, f.stream, CodeRejected, []byte(full)), 0)
 		case err != nil:
 			c.isUnfit()
 			c.Answer(f.stream, CodeRejected, []byte(err.Error()))
@@ -728,15 +728,15 @@
 
 var errEnded = errors.New("the connection has ended")
 
-// begin opens a stream, which must be new; full: it is, but as many as may be are open.
-func (c *Conn) begin(stream uint32) (full bool, err error) {
+// begin opens a stream, which must be new; full: it is, but nothing more is taken in, and why.
+func (c *Conn) begin(stream uint32) (full string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || !c.released.IsZero() {
-		return false, errEnded
+	if c.ended {
+		return "", errEnded
 	}
 	if stream == 0 || stream <= c.below || c.apart[stream] {
-		return false, fmt.Errorf("stream %d is not new", stream)
+		return "", fmt.Errorf("stream %d is not new", stream)
 	}
 	if c.apart[stream] = true; len(c.apart) > mostApart { // bounded: what is left out counts as used
 		clear(c.apart)
@@ -746,11 +746,14 @@
 		c.below++
 		delete(c.apart, c.below)
 	}
+	if !c.released.IsZero() { // it ends soon, but what came before that is owed an answer
+		return tooSlow, nil
+	}
 	if len(c.open)-c.answered >= mostOpen { // a client may know of an answer before its write returns here
-		return true, nil
+		return "too many open statements", nil
 	}
 	c.open[stream] = false
-	return false, nil
+	return "", nil
 }
 
 // Answer sends the one answer of a stream, unless nobody waits for it. It does not block. It tells whether the client has
