A stop that was held up hears what came meanwhile before it ends

Seen on reading, then forced: a stop ended at the first look that found nothing open later than a second after the sign (awaitStop). A router that is held up for that second (stopped, or short of its core) and goes on looks before its readers have run: what lay unread on open connections, or was not accepted yet, was cut off though its last byte had come 0.1 s after the sign. Likewise a connection that waited for a place while all were taken by such as were answered a moment ago. Now the end takes three looks in a row, each of which asks the kernel for connections that wait to be accepted and for bytes that were not read, and counts connections that wait for a place; the listener stays open while somebody waits at it. A stop whose time is up ends two looks later, so that one that wakes then still gives its last answers. TestWhatIsNotHeardYet forces each look by a gate.

--- a/cmd/bankledge/stop_test.go
+++ b/cmd/bankledge/stop_test.go
@@ -185,6 +185,42 @@
 	r.awaitEnd(t)
 }
 
+// The router is held up from just after the sign until no new statement would be taken any more: what came in time, on connections from
+// before and on such as were not accepted yet, is answered all the same.
+func TestStopThatIsHeldUp(t *testing.T) {
+	e := newEngine(t, "one", map[string][]step{"POST": {done("fine\n")}})
+	r := startWith(t, standin.Settings, e)
+	var conns []*client
+	for range 10 {
+		conns = append(conns, dial(t, r))
+	}
+	r.stop(t)
+	signed := time.Now()
+	for kind := byte(0); kind != 3; { // the sign has come
+		kind, _, _, _ = conns[0].read()
+	}
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGSTOP))
+	for i := range 30 {
+		if i >= len(conns) {
+			conns = append(conns, dial(t, r))
+		}
+		conns[i].send(7, 1, statement("lookup", i, "t", "-"))
+	}
+	<-time.After(time.Until(signed.Add(1100 * time.Millisecond))) // its clock is past the second in which it takes new connections
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGCONT))
+	for _, c := range conns {
+		for {
+			kind, _, code, body, err := standin.ReadFrame(c.r)
+			require.NoError(t, err, "an end, and no answer")
+			if kind == 8 {
+				assert.Equal(t, []any{byte(20), "fine\n"}, []any{code, body})
+				break
+			}
+		}
+	}
+	r.awaitEnd(t)
+}
+
 // A sign that comes before the router is ready, even before it serves, ends it in the ordinary way.
 func TestStopBeforeReady(t *testing.T) {
 	e := newEngine(t, "gone", nil)
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -195,6 +195,45 @@
 	assert.Empty(t, k.took)
 }
 
+// What was not accepted or not read yet is not passed over: it may be a statement that came in time.
+func TestWhatIsNotHeardYet(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	assert.False(t, Awaited(listener))
+	waits := dial(t, listener.Addr().String())
+	require.Eventually(t, func() bool { return Awaited(listener) }, patience, time.Millisecond)
+	_, err = listener.Accept()
+	require.NoError(t, err)
+	assert.False(t, Awaited(listener))
+	waits.Close()
+	listener.Close()
+	assert.False(t, Awaited(listener))
+
+	f, k, address := serve(t)
+	gate := make(chan struct{})
+	hears := func(*Conn) { <-gate }
+	k.hears.Store(&hears)
+	c := dial(t, address)
+	_, err = c.Write(append(frameOf(1), appendFrame(nil, typeLeft, 1, 0)...))
+	require.NoError(t, err)
+	await(t, k.took)
+	assert.Zero(t, f.Unheard())
+	_, err = c.Write(frameOf(2)) // its reader stands at the gate
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return f.Unheard() == 1 }, patience, time.Millisecond)
+	close(gate)
+	await(t, k.took)
+	assert.Zero(t, f.Unheard())
+	for range cap(f.slots) - 1 { // all places are taken by those that may still have something on its way
+		taken := dial(t, address)
+		_, err := taken.Write(frameOf(1))
+		require.NoError(t, err)
+		await(t, k.took)
+	}
+	dial(t, address)
+	require.Eventually(t, func() bool { return f.Unheard() == 1 }, patience, time.Millisecond)
+}
+
 // A client from which nothing is read, since it takes nothing in, may leave like any other.
 func TestWhoIsNotReadFromMayLeave(t *testing.T) {
 	for _, how := range []struct {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -68,6 +69,8 @@
 	start time.Time     // of the accounts' clock
 	peeks sync.Pool     // of buffers to look through what is not read
 
+	seated atomic.Int64 // connections that were accepted and wait for a place
+
 	booking sync.Mutex // guards the accounts; innermost
 	book    *account.Book
 
@@ -114,7 +117,9 @@
 			}
 			continue
 		}
+		f.seated.Add(1)
 		if !f.place(ctx) {
+			f.seated.Add(-1)
 			raw.Close()
 			return nil
 		}
@@ -127,6 +132,8 @@
 		if tcp, ok := raw.(*net.TCPConn); ok {
 			tcp.SetWriteBuffer(int(f.book.Limits().Kernel))
 		}
+		f.enter(c)
+		f.seated.Add(-1)
 		group.Go(func() error {
 			defer func() { <-f.slots }()
 			c.serve(ctx)
@@ -135,6 +142,22 @@
 	}
 }
 
+// Awaited tells whether a connection waits to be accepted.
+func Awaited(listener net.Listener) (some bool) {
+	sys, ok := listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	if raw, err := sys.SyscallConn(); err == nil { // closed: there is none
+		raw.Control(func(fd uintptr) {
+			asked := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+			n, err := unix.Poll(asked, 0)
+			some = err == nil && n > 0 && asked[0].Revents&unix.POLLIN != 0
+		})
+	}
+	return some
+}
+
 // place takes a place for a connection. Where there is none, others make room; as long as all of them have
 // statements open, the new one waits.
 func (f *Front) place(ctx context.Context) bool {
@@ -206,6 +229,20 @@
 	return n
 }
 
+// Unheard is the number of connections that wait for a place, or on which something lies that was not read yet: it may be a
+// statement whose last byte came in time.
+func (f *Front) Unheard() int {
+	n := int(f.seated.Load())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if !c.lost.Load() && c.unread() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *Front) enter(c *Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -273,7 +310,8 @@
 	flow    chan struct{} // reading may go on
 	done    <-chan struct{}
 
-	since time.Time // it was accepted
+	since time.Time   // it was accepted
+	lost  atomic.Bool // nothing on it can be read any more
 
 	mu       sync.Mutex
 	out      []outgoing
@@ -487,7 +525,6 @@
 	stop := context.AfterFunc(ctx, func() { c.raw.Close() })
 	defer stop()
 	c.done = ctx.Done()
-	c.front.enter(c)
 	var group errgroup.Group
 	group.Go(func() error { c.write(); return nil })
 	func() {
@@ -619,6 +656,7 @@
 // closed with bytes unread.
 func (c *Conn) lose(why string) {
 	c.fault(why)
+	c.lost.Store(true)
 	waste, told, until := make([]byte, freeFrame), false, time.Time{}
 	for !told || time.Now().Before(until) {
 		if !told && c.settled() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,7 @@
 	lastAnswers  = 200 * time.Millisecond // for the answers of what is given up at the end of a stop
 	answerPart   = 8                      // but no more than one part in so many of the longest statement timeout
 	stopLook     = 10 * time.Millisecond
+	overLooks    = 3               // in a row that find nothing left to do, or its time up, before a stop ends
 	reportsEvery = 5 * time.Second // lines of figures in the log
 )
 
@@ -265,20 +266,27 @@
 	g.stopping.Store(true)
 	g.front.Stop()
 	g.route.post(input{event: decision.Stopping{Within: plan.giveUp}})
-	for {
+	for looks, closed := 0, false; looks < overLooks; { // one that was held up hears what came meanwhile first
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-time.After(stopLook):
 		}
 		past := time.Since(began)
-		if past > lateComers {
+		if closed = closed || past > lateComers && !front.Awaited(listener); closed {
 			listener.Close()
 		}
-		if plan.over(past, g.figures.open.Load() == 0 && g.front.Queued() == 0) {
-			return nil
+		if looks++; !plan.over(past, closed && g.idle()) {
+			looks = 0
 		}
 	}
+	return nil
+}
+
+// idle tells whether nothing is open and nothing waits to be accepted, read, written or taken in. What was read and is not open yet
+// shows at the next look: a router that is held up and goes on looks before it has read what came meanwhile.
+func (g *Gateway) idle() bool {
+	return g.front.Unheard() == 0 && g.figures.open.Load() == 0 && g.front.Queued() == 0
 }
 
 // stopPlan is when, after SIGTERM, what is open then is given up, and when the router ends whatever is open.
