An answer's second that comes late is not taken for another statement's

Between two calls of one execution there is no rest, so the second was taken for the answer to the next call (run, back/execution.go); from there each answer on that connection was one behind. If the last one then came later than the 10 ms for which a connection rests, say from an engine that stood still, another statement's start took it for its own: its client got another client's rows. An answer without news that comes sooner than an engine holds such an answer, or brings the note of the answer before once more, may be such a second: its connection is left now, and the next call goes on another. Measured: TestALateSecondAnswerIsNobodyElses (a scripted peer that owes one answer) fails without the mend, statement B getting the rows of A; 20 plays under the race detector with it.

--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -34,6 +34,7 @@
 	over    chan struct{} // closed once an answer has proven that it runs no longer
 	conn    *conn         // the one it holds, if any; the running goroutine's
 	spoilt  int           // answers that could not be used
+	noted   string        // the last note, as it came
 	report  *decision.Report
 }
 
@@ -184,11 +185,12 @@
 				}
 			}
 			return heard.outcome, said.body, true
+		} else if x.doubtful(said) {
+			x.release(false)
+			x.pause()
 		} else if heard.note != nil {
 			heard.note.Statement, heard.note.Execution, heard.note.Engine = x.Statement, x.Order.Execution, x.Engine
 			x.back.listener.Noted(*heard.note)
-		} else if time.Since(time.Unix(0, x.asked.Load())) < pollHeld/4 {
-			x.pause() // an engine that does not hold its answer while there is no news
 		}
 		if said, err = x.fetch("/0", pollHeld+pollSlack, isNews); err == nil && said.Status != 500 && !isClosed(x.heard) {
 			close(x.heard)
@@ -207,6 +209,15 @@
 	return decision.Errored, nil, true
 }
 
+// doubtful tells whether an answer without an end may be an earlier one's second, which came late: no news sooner than an engine holds such an
+// answer, or the same note once more. Then what was asked for is still to come on that connection, and would be taken for the answer to the
+// next call there, whosever that is.
+func (x *Execution) doubtful(said answer) bool {
+	note, before := said.Get(fieldNote)+" "+said.Get(fieldValue), x.noted
+	x.noted = note
+	return (note == " " || note == before) && time.Since(time.Unix(0, x.asked.Load())) < pollHeld/4
+}
+
 // isOver tells errors after which nothing is asked again.
 func isOver(err error) bool {
 	return errors.Is(err, errLapsed) || errors.Is(err, errForgotten) || errors.Is(err, errNoEngine) || errors.Is(err, errNoPage)
--- /dev/null
+++ b/internal/back/late_test.go
@@ -0,0 +1,89 @@
+package back
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"bankledge/decision"
+)
+
+type results chan string
+
+func (r results) Noted(decision.ExecutionNoted) {}
+func (r results) Probed(decision.ProbeEnded)    {}
+func (r results) Ended(ended decision.ExecutionEnded, result []byte) {
+	r <- string(ended.Statement) + " " + string(result)
+}
+
+// An answer's second comes behind the next call of the same execution and is taken for its answer: what was asked for is then still to
+// come on that connection, and must not become another statement's result.
+func TestALateSecondAnswerIsNobodyElses(t *testing.T) {
+	const head = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n"
+	for name, second := range map[string]string{"no news": head + "\r\n", "a note": head + "X-How: done\r\nX-Num: 0.3\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			result := func(call *http.Request) string {
+				id := call.Header.Get("X-Txn")
+				if parts := strings.Split(call.URL.Path, "/"); len(parts) > 2 {
+					id = parts[2]
+				}
+				return "HTTP/1.1 200 OK\r\nX-Batches: 1\r\nContent-Length: 6\r\n\r\nof-" + id + "\n\n"
+			}
+			go func() {
+				for n := 0; ; n++ {
+					c, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer c.Close()
+						owed := "" // the answer to the call before
+						for r := bufio.NewReader(c); ; {
+							call, err := http.ReadRequest(r)
+							if err != nil {
+								return
+							}
+							io.Copy(io.Discard, call.Body)
+							switch {
+							case n == 0 && call.Method == "POST" && owed == "":
+								io.WriteString(c, second)
+							case n == 0 && owed == "":
+								io.WriteString(c, second) // the start's, once more
+								owed = result(call)
+							case n == 0: // whatever comes next meets what is owed
+								io.WriteString(c, owed)
+								owed = result(call)
+							default:
+								io.WriteString(c, result(call))
+							}
+						}
+					}()
+				}
+			}()
+			ended := make(results, 2)
+			b := New(t.Context(), ended, 4, time.Minute, patience, zap.NewNop())
+			b.Know("e", listener.Addr().String(), true)
+			for _, id := range []decision.StatementID{"A", "B"} {
+				b.Execute(Order{Statement: id, Engine: "e", Text: []byte("select"), Until: time.Now().Add(time.Minute)})
+				assert.Equal(t, string(id)+" of-"+string(id)+"\n\n", await(t, ended))
+				require.Eventually(t, func() bool { // a connection that was given back has rested
+					b.pool.mu.Lock()
+					defer b.pool.mu.Unlock()
+					return len(b.pool.idle["e"]) == 0 || time.Since(b.pool.idle["e"][0].idle) > 2*restTime
+				}, patience, time.Millisecond)
+			}
+		})
+	}
+}
