--- a/policy/policy.go
+++ b/policy/policy.go
@@ -596,8 +596,8 @@
 	}
 }
 
-// triedAgain: it was left already and had its rest. One connection that does not come up may only be late: who is
-// lost for that comes back as if it had started anew, and takes next to nothing for as long as that takes to warm.
+// triedAgain: it was left already and had its rest. One connection that does not come up may only be late: who
+// is lost for that comes back as if it had started anew, and takes next to nothing until it would be warm.
 func (m *Module) triedAgain(e *engine) bool { return e.Left && m.now >= e.LeftUntil }
 
 // jammed: all routers together hold so much there that little of it ends. If each looked again when its sight
