--- a/policy/policy.go
+++ b/policy/policy.go
@@ -596,7 +596,7 @@
 	}
 }
 
-// triedAgain: it was left already and had its rest. One connection that does not come up may only be late: who
+// triedAgain: it was left already and has rested. One connection that does not come up may only be late: who
 // is lost for that comes back as if it had started anew, and takes next to nothing until it would be warm.
 func (m *Module) triedAgain(e *engine) bool { return e.Left && m.now >= e.LeftUntil }
 
