A connection whose client has not taken in its last answer is not closed for another

Seen on reading: a connection that rested for a second may be closed to make room (dispensable), also while the kernel still holds its last answer for a client that reads slowly, or while words are being written that belong to no statement. A close over bytes that were not read resets the connection, and what the kernel holds goes with it: the statement had its answer written and never got it. Now neither counts as at rest; who takes in too little is released by its own rule, so no place is held for ever. Looked for elsewhere: a stop counts the same bytes already (Queued); a connection with its framing lost lingers for a second after its last answer. Measured: TestWhatIsNotTakenInIsQueued and TestWhoMakesRoom hold it; with the mend taken back the first finds the connection to be the one that is closed.

--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -295,6 +295,7 @@
 	}{
 		{"something open", &Conn{open: map[uint32]bool{1: false}, spoke: true, since: long, idle: long}, 0},
 		{"an answer not written", &Conn{out: make([]outgoing, 1), spoke: true, since: long, idle: long}, 0},
+		{"one that is being written", &Conn{writing: 1, spoke: true, since: long, idle: long}, 0},
 		{"new: its first statement may be on its way", &Conn{since: now, idle: now}, 0},
 		{"never spoke", &Conn{since: long, idle: long}, 2},
 		{"answered just now: its next statement may be on its way", &Conn{spoke: true, since: long, idle: now}, 0},
@@ -342,7 +343,15 @@
 	conn.Answer(1, CodeCompleted, body)
 	require.Eventually(t, conn.settled, patience, time.Millisecond, "it is with the kernel")
 	assert.Positive(t, f.Queued())
+	rested := func() int {
+		conn.mu.Lock()
+		conn.idle = time.Now().Add(-time.Minute)
+		conn.mu.Unlock()
+		return conn.dispensable()
+	}
+	assert.Zero(t, rested(), "nor is its connection closed for another")
 	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
 	assert.Equal(t, body, readFrame(t, bufio.NewReader(c)).payload[2:])
 	require.Eventually(t, func() bool { return f.Queued() == 0 }, patience, time.Millisecond)
+	assert.Equal(t, 1, rested())
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -484,13 +484,13 @@
 // shortest is the most that a frame may hold which is queued whatever waits.
 const shortest = 256
 
-// dispensable is 0 for a connection with something open, or whose next statement may well be on its way: to close one that is new
-// leaves a client without an answer. Else it is the higher, the smaller the loss.
+// dispensable is 0 for a connection with something open, whose client has not taken in its last answer yet, or whose next statement may
+// well be on its way: to close one that is new leaves a client without an answer. Else it is the higher, the smaller the loss.
 func (c *Conn) dispensable() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.ended || len(c.open) > 0 || len(c.out) > 0:
+	case c.ended || len(c.open) > 0 || len(c.out) > 0 || c.writing > 0:
 		return 0
 	case c.unfit > 0:
 		return 3
@@ -501,6 +501,9 @@
 	case time.Since(c.idle) < restedTime:
 		return 0
 	}
+	if left, ok := c.unsent(); ok && left > 0 { // the kernel would drop it if something lies unread
+		return 0
+	}
 	return 1
 }
 
