What came while the router was held up is read before its connection is given up

Seen on reading: a connection's first frame has 2.5 s, a resting one a second before it may be closed for another. A router that was held up for that long finds a statement in the kernel that came in time, and a read whose deadline is past returns without looking (Conn.read); or the connection is closed for another with the statement unread (dispensable). Either way a statement that was taken had no answer, and it had come long before the 50 ms in which it may cross a close. Now a read that ran out of time looks once more if something lies there, and a connection with bytes unread is not at rest. Measured: TestWhatCameWhileTheRouterWasHeldUp fails with either half taken back (nothing is taken in; the connection is the one to be closed), passes five times under the race detector.

--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -307,6 +307,34 @@
 	}
 }
 
+// A statement that came in time, on a connection that nobody has looked at since, is taken in, and its connection is not closed for another.
+func TestWhatCameWhileTheRouterWasHeldUp(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	for _, spoke := range []bool{false, true} {
+		client := dial(t, listener.Addr().String())
+		raw, err := listener.Accept()
+		require.NoError(t, err)
+		k := &taker{took: make(chan *Conn, 1), left: make(chan uint32, 1)}
+		f := New(k, 10, 1<<20, account.Derive(64, 10), zap.NewNop())
+		long := time.Now().Add(-time.Minute)
+		c := &Conn{front: f, raw: raw, wake: make(chan struct{}, 1), flow: make(chan struct{}, 1), open: map[uint32]bool{}, apart: map[uint32]bool{}, since: long, idle: long, spoke: spoke, account: f.book.Open("x")}
+		f.enter(c)
+		assert.NotZero(t, c.dispensable())
+		_, err = client.Write(frameOf(1))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return c.unread() > 0 }, patience, time.Millisecond)
+		assert.Zero(t, c.dispensable())
+		f.evict()
+		ended := make(chan struct{})
+		go func() { c.serve(t.Context()); close(ended) }()
+		assert.Same(t, c, await(t, k.took))
+		client.Close()
+		await(t, ended)
+	}
+}
+
 func TestLeftIn(t *testing.T) {
 	left := func(stream uint32) []byte { return appendFrame(nil, typeLeft, stream, 0) }
 	for _, c := range []struct {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -494,6 +494,8 @@
 		return 0
 	case c.unfit > 0:
 		return 3
+	case c.unread() > 0: // it came before, and the router was held up
+		return 0
 	case !c.spoke && time.Since(c.since) < freshTime:
 		return 0
 	case !c.spoke:
@@ -612,6 +614,10 @@
 		}
 		c.raw.SetReadDeadline(until)
 		n, err := buf.Fill(c.raw)
+		if n == 0 && isTimeout(err) && c.unread() > 0 { // it came in time: the router was held up
+			c.raw.SetReadDeadline(time.Now().Add(spillLook))
+			n, err = buf.Fill(c.raw)
+		}
 		if idle && n > 0 {
 			began = time.Now()
 		} else if time.Since(began) > limits.FrameGrace {
