A statement's time runs on while the router is held up

Seen on reading: a statement's time counts from when it was read (TakeIn), the protocol's from its last byte. Whoever comes while the router stands (stopped, or without its core) was given the whole time again: sent on for a client that had given up, and answered as late as the router had stood, which the operators count as lost beyond half a second. Ruled out: the module, which takes the time that is left; the kernel's time stamps, which would ask for another way of reading.

--- a/cmd/bankledge/stop_test.go
+++ b/cmd/bankledge/stop_test.go
@@ -221,6 +221,29 @@
 	r.awaitEnd(t)
 }
 
+// What lay unread while the router was held up for longer than its client waits is not sent on when it runs again: nobody waits for it.
+func TestNothingIsSentOnForWhoWaitedWhileTheRouterStood(t *testing.T) {
+	e := newEngine(t, "one", map[string][]step{"POST": {done("fine\n")}})
+	r := startWith(t, standin.Settings, e)
+	c := dial(t, r)
+	c.send(7, 1, statement("lookup", 1, "t", "-"))
+	c.answer(1, 20, "fine\n")
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGSTOP))
+	c.send(7, 2, statement("lookup", 2, "d", "500", "t", "-"))
+	c.send(7, 3, statement("lookup", 3, "d", "20000", "t", "-"))
+	<-time.After(time.Second) // which the router stands: longer than the one client waits, and not the other
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGCONT))
+	codes := map[uint32]byte{}
+	for range 2 {
+		_, stream, code, _ := c.read()
+		codes[stream] = code
+	}
+	assert.Equal(t, map[uint32]byte{2: 50, 3: 20}, codes)
+	assert.Equal(t, 2, e.Count("POST"))
+	r.stop(t)
+	r.awaitEnd(t)
+}
+
 // A sign that comes before the router is ready, even before it serves, ends it in the ordinary way.
 func TestStopBeforeReady(t *testing.T) {
 	e := newEngine(t, "gone", nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 	reached    atomic.Bool // engines were seen to be in reach
 	stopping   atomic.Bool // SIGTERM has come
 	figures    figures
+	pulse      pulse
 	readers    sync.Pool // of analysers of texts
 	looks      atomic.Pointer[classify.Counts]
 }
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -66,6 +66,7 @@
 			batch = append(batch, in)
 		case <-timer.C:
 		}
+		r.gateway.pulse.strike(r.gateway.now())
 		runtime.Gosched() // whoever has something to post does so first: what is ready makes one batch
 		for n := len(r.inbox); n > 0; n-- {
 			batch = append(batch, <-r.inbox)
@@ -77,7 +78,7 @@
 }
 
 func (r *route) untilTimer() time.Duration {
-	next := time.Second
+	next := heldUp / 2
 	for _, t := range r.timers {
 		next = min(next, t.At-r.gateway.now())
 	}
--- a/internal/gateway/takein.go
+++ b/internal/gateway/takein.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"bankledge/internal/front"
@@ -13,7 +11,7 @@
 
 // TakeIn takes a statement that has come whole, and tells whether it was fit.
 func (g *Gateway) TakeIn(c *front.Conn, stream uint32, fields front.Fields, text []byte) bool {
-	taken := time.Now()
+	taken := g.origin.Add(g.pulse.arrived(g.now()))
 	g.figures.taken.Add(1)
 	stmt, arrived, why := g.admit(c, fields, text, taken)
 	if why != "" {
