What the control feed told while the router was held up is heard before anything is sent

Seen on reading, then forced: a router that was held up finds the list, statements and connections that came up at the same instant. What had come was decided, and what had waited for a connection began, before the list was read: new executions went to an engine that had been told to drain longer ago than the grace, where the router had stood for longer than that.

--- a/cmd/bankledge/stop_test.go
+++ b/cmd/bankledge/stop_test.go
@@ -8,8 +8,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,8 +28,13 @@
 	for _, e := range engines {
 		members = append(members, member(e, "active"))
 	}
+	return startOn(t, newControl(t), settings, members...)
+}
+
+// startOn is the same with engines as the control feed told of them.
+func startOn(t *testing.T, f *standin.Control, settings string, members ...string) *router {
 	path := filepath.Join(t.TempDir(), "config.json")
-	require.NoError(t, os.WriteFile(path, standin.Config(newControl(t).Server.Listener.Addr().String(), settings, 64, 256, members...), 0o600))
+	require.NoError(t, os.WriteFile(path, standin.Config(f.Server.Listener.Addr().String(), settings, 64, 256, members...), 0o600))
 	r := &router{cmd: exec.Command(program, "serve"), config: path, log: &lockedLog{}, ended: make(chan error, 1)}
 	r.cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
 	r.run(t)
@@ -260,6 +267,107 @@
 	r.awaitEnd(t)
 }
 
+// An engine begins to drain while the router stands: what lay unread meanwhile, and comes to be decided at the same instant as the list, does
+// not go there.
+func TestAListThatCameWhileTheRouterStood(t *testing.T) {
+	f, done := newControl(t), map[string][]step{"POST": {done("fine\n")}}
+	drains, well := newEngine(t, "drains", done), newEngine(t, "well", done)
+	r := start(t, f, 256, drains)
+	c := dial(t, r)
+	c.send(7, 1, statement("lookup", 1))
+	c.answer(1, 20, "fine\n")
+	const n = 30
+	for round := range uint32(3) {
+		r.holdUp(t)
+		phases, before := []string{"leaving", "active"}, drains.Count("POST")
+		if round == 1 {
+			phases, before = []string{"active", "leaving"}, well.Count("POST")
+		}
+		members := []string{member(drains, phases[0]), member(well, phases[1])}
+		for i := range 500 { // which takes its time to read
+			members = append(members, standin.Member(fmt.Sprint("other ", i), fmt.Sprint("127.0.0.1:", 1+i), "leaving"))
+		}
+		f.Events <- fmt.Sprintf("id: %d\ndata: {\"n\":%d,\"members\":{\"members\":[%s]}}\n\n", round+2, round+2, strings.Join(members, ","))
+		f.Events <- ":\n" // once this is taken the one before is written
+		require.Eventually(t, func() bool { return len(f.Events) == 0 }, patience, time.Millisecond)
+		for i := range uint32(n) {
+			c.send(7, round*n+i+2, statement("lookup", int(round*n+i+2)))
+		}
+		<-time.After(400 * time.Millisecond) // which the router stands
+		require.NoError(t, r.cmd.Process.Signal(syscall.SIGCONT))
+		for range n {
+			_, _, code, body := c.read()
+			require.Equal(t, []any{byte(20), "fine\n"}, []any{code, body})
+		}
+		after := drains.Count("POST")
+		if round == 1 {
+			after = well.Count("POST")
+		}
+		assert.Equal(t, before, after, "nothing new goes to the one that drains")
+	}
+}
+
+// A connection comes up while the router stands, and its engine begins to drain: what waited for it is not sent there.
+func TestAConnectionThatCameUpWhileTheRouterStood(t *testing.T) {
+	listener, accept, err := standin.NotUp()
+	require.NoError(t, err)
+	defer listener.Close()
+	f, well := newControl(t), newEngine(t, "well", map[string][]step{"POST": {done("fine\n")}})
+	settings := strings.Replace(standin.Settings, `"connectTimeout":250000`, `"connectTimeout":20000000`, 1)
+	r := startOn(t, f, settings, member(well, "active"))
+	f.Events <- fmt.Sprintf("id: 2\ndata: {\"n\":2,\"members\":{\"members\":[%s,%s]}}\n\n", member(well, "leaving"), standin.Member("drains", listener.Addr().String(), "active"))
+	require.Eventually(t, func() bool { return strings.Contains(r.log.String(), "engine list changed") }, patience, time.Millisecond)
+	c := dial(t, r)
+	const n = 20
+	for i := range uint32(n) {
+		c.send(7, i+1, statement("report", int(i), "d", "15000"))
+	}
+	coming := regexp.MustCompile(fmt.Sprintf(` 0100007F:%04X 02 `, listener.Addr().(*net.TCPAddr).Port)) // as the kernel lists what has not come up
+	require.Eventually(t, func() bool {                                                                  // some wait for their connections
+		listed, err := os.ReadFile("/proc/net/tcp")
+		require.NoError(t, err)
+		return len(coming.FindAll(listed, -1)) > 4
+	}, patience, time.Millisecond)
+	r.holdUp(t)
+	accept()
+	members := []string{standin.Member("drains", listener.Addr().String(), "leaving"), member(well, "active")}
+	for i := range 500 { // which takes its time to read
+		members = append(members, standin.Member(fmt.Sprint("other ", i), fmt.Sprint("127.0.0.1:", 1+i), "leaving"))
+	}
+	f.Events <- fmt.Sprintf("id: 3\ndata: {\"n\":3,\"members\":{\"members\":[%s]}}\n\n", strings.Join(members, ","))
+	f.Events <- ":\n" // once this is taken the one before is written
+	require.Eventually(t, func() bool { return len(f.Events) == 0 }, patience, time.Millisecond)
+	up, err := listener.Accept() // one has come up
+	require.NoError(t, err)
+	defer up.Close()
+	require.NoError(t, r.cmd.Process.Signal(syscall.SIGCONT))
+	var sent atomic.Int64
+	go func() { // and so may the others
+		for {
+			up, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				if n, _ := up.Read(make([]byte, 1)); n > 0 {
+					sent.Add(1)
+				}
+				up.Close()
+			}()
+		}
+	}()
+	for range n {
+		_, _, code, body := c.read()
+		require.Equal(t, []any{byte(20), "fine\n"}, []any{code, body})
+	}
+	require.NoError(t, up.SetReadDeadline(time.Now().Add(patience)))
+	n0, _ := up.Read(make([]byte, 1))
+	assert.Zero(t, n0, "it was closed, and nothing came before")
+	r.stop(t)
+	r.awaitEnd(t)
+	assert.Zero(t, sent.Load(), "connections on which something came to the one that drains")
+}
+
 // A sign that comes before the router is ready, even before it serves, ends it in the ordinary way.
 func TestStopBeforeReady(t *testing.T) {
 	e := newEngine(t, "gone", nil)
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -42,6 +42,8 @@
 	pool     *pool
 	ctx      context.Context // ends the executions
 	running  sync.WaitGroup
+
+	Hear func() // called before an execution begins: waits for what was told of engines and is not known here yet; nil: nobody has to
 }
 
 // New returns a back that uses at most so many descriptors. All that it starts ends with ctx.
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -59,6 +59,9 @@
 // here on the engine may run it: when it was last asked for it is known before anyone can find it started, since
 // whoever calls it off counts from there.
 func (x *Execution) begin() bool {
+	if x.back.Hear != nil {
+		x.back.Hear()
+	}
 	x.asked.Store(time.Now().UnixNano())
 	return x.back.pool.mayBegin(x.Engine, x.address) && !x.tooLate() && x.stage.CompareAndSwap(waiting, started) &&
 		x.ctx.Err() == nil // lapsed may have looked before it was started
--- a/internal/feed/crossing_test.go
+++ b/internal/feed/crossing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,7 +126,7 @@
 	in, out := net.Pipe()
 	defer in.Close()
 	tries := 0
-	a := &alive{Conn: out, sign: time.Now(), patience: silence, heads: true, lines: true, event: time.Now().Add(-quiet), renew: func() bool { tries++; return tries > 1 }}
+	a := &alive{Conn: out, sign: time.Now(), patience: silence, heads: true, lines: true, event: time.Now().Add(-quiet), renew: func() bool { tries++; return tries > 1 }, waits: new(atomic.Bool)}
 	read := make(chan error, 1)
 	go func() { _, err := a.Read(make([]byte, 10)); read <- err }()
 	go func() { io.WriteString(in, ":\n") }() // what comes meanwhile is taken
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -12,9 +12,11 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"bankledge/decision"
 	"bankledge/internal/http1"
@@ -108,9 +110,11 @@
 	Take    func(Change)
 	Log     *zap.Logger
 
-	stream *alive   // the connection that is followed
-	spare  net.Conn // one that is to take its place
-	barren int      // connections in a row that brought no line
+	conn   atomic.Pointer[net.TCPConn] // the connection that is followed
+	waits  atomic.Bool                 // for what comes next: all that was read has been taken
+	stream *alive                      // the same
+	spare  net.Conn                    // one that is to take its place
+	barren int                         // connections in a row that brought no line
 
 	skipped  int  // tries at the event that could not be read
 	gapAsked bool // a gap was asked for again already
@@ -217,7 +221,10 @@
 	}
 	defer raw.Close()
 	defer context.AfterFunc(ctx, func() { raw.Close() })()
-	stream := &alive{Conn: raw, sign: time.Now(), patience: f.patience(), event: time.Now()}
+	tcp, _ := raw.(*net.TCPConn)
+	f.conn.Store(tcp)
+	defer f.conn.Store(nil)
+	stream := &alive{Conn: raw, sign: time.Now(), patience: f.patience(), event: time.Now(), waits: &f.waits}
 	stream.renew = func() bool {
 		var err error
 		f.spare, err = f.ask(ctx)
@@ -241,6 +248,24 @@
 	return f.events(reader.Body(head))
 }
 
+// Behind tells whether the control feed has told something that was not read, or not taken, yet. Anybody may ask.
+func (f *Feed) Behind() (behind bool) {
+	conn := f.conn.Load()
+	if conn == nil {
+		return false
+	}
+	if !f.waits.Load() {
+		return true
+	}
+	if raw, err := conn.SyscallConn(); err == nil { // closed: there is nothing more to come
+		raw.Control(func(fd uintptr) {
+			n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+			behind = err == nil && n > 0
+		})
+	}
+	return behind
+}
+
 func (f *Feed) dropSpare() {
 	if f.spare != nil {
 		f.spare.Close()
@@ -283,9 +308,10 @@
 	sign     time.Time // of life, the last
 	part     int       // bytes since then
 	patience time.Duration
-	heads    bool        // the answer's head is read
-	lines    bool        // and lines of its body have come
-	event    time.Time   // the last, or the start
+	heads    bool      // the answer's head is read
+	lines    bool      // and lines of its body have come
+	event    time.Time // the last, or the start
+	waits    *atomic.Bool
 	renew    func() bool // makes a connection that may take this one's place
 }
 
@@ -296,7 +322,9 @@
 			due = again
 		}
 		a.SetReadDeadline(due)
+		a.waits.Store(true)
 		n, err := a.Conn.Read(p)
+		a.waits.Store(false)
 		now := time.Now()
 		if a.part += n; bytes.IndexByte(p[:n], '\n') >= 0 || a.part >= longLine {
 			if a.sign, a.part = now, 0; a.heads {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	front   *front.Front
 	back    *back.Back
 	route   *route
+	follow  *feed.Feed
 	serving chan net.Addr // the address, once clients can connect
 
 	workloads map[string]decision.WorkloadID
@@ -116,10 +117,13 @@
 	defer end()
 	sockets := g.cfg.Opening.Sockets
 	g.back = back.New(ctx, g, g.engines, sockets.IdleClose, sockets.ConnectTimeout, g.log)
+	g.back.Hear = g.hearList
 	listener, err := net.Listen("tcp", g.cfg.Listen)
 	if err != nil {
 		return err
 	}
+	follow := &feed.Feed{Address: g.cfg.Feed, Origin: g.origin, Log: g.log, Take: g.changed}
+	g.follow = follow
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return g.route.run(ctx) })
 	known, err := g.knownChanges() // the module hears of these before anything else
@@ -128,7 +132,7 @@
 		listener.Close()
 		return errors.Join(err, group.Wait())
 	}
-	follow := &feed.Feed{Address: g.cfg.Feed, Origin: g.origin, Last: g.cfg.LastID, Log: g.log, Take: g.changed}
+	follow.Last = g.cfg.LastID
 	group.Go(func() error { return g.back.Tend(ctx) })
 	group.Go(func() error { return g.front.Serve(ctx, listener) })
 	group.Go(func() error { return follow.Follow(ctx) })
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -66,7 +66,9 @@
 			batch = append(batch, in)
 		case <-timer.C:
 		}
-		r.gateway.pulse.strike(r.gateway.now())
+		if r.gateway.pulse.strike(r.gateway.now()) {
+			r.gateway.hearList()
+		}
 		runtime.Gosched() // whoever has something to post does so first: what is ready makes one batch
 		for n := len(r.inbox); n > 0; n-- {
 			batch = append(batch, <-r.inbox)
