What is read after a long stand is taken to be old for a quarter second at most

Found on reading the change again: what came while the router was held up was dated back for a quarter of the time that it stood, so after an hour's stop every fresh statement would have been rejected for a quarter of an hour. Now 250 ms at most: what lies in the kernel of all connections is read in less. Measured: TestPulse has the case of an hour; the four tests that stop the program pass twice under the race detector.

--- a/internal/gateway/pulse.go
+++ b/internal/gateway/pulse.go
@@ -9,6 +9,8 @@
 	heldUp  = 250 * time.Millisecond // without a beat: the router did not run
 	catchUp = 4                      // one part in so many of that is given to reading what came meanwhile, once it runs again
 
+	catchUpMost = 250 * time.Millisecond // and no more: what comes fresh then is taken to be old
+
 	listFirst = 50 * time.Millisecond // at most, for what the control feed has told meanwhile
 	listLook  = time.Millisecond
 )
@@ -22,7 +24,7 @@
 	last := time.Duration(p.beat.Load())
 	if stood = last > 0 && now-last > heldUp; stood {
 		p.from.Store(int64(last))
-		p.until.Store(int64(now + (now-last)/catchUp))
+		p.until.Store(int64(now + min(catchUpMost, (now-last)/catchUp)))
 	}
 	p.beat.Store(int64(now))
 	return stood
