The test of clients that leave waits until the list is taken

Cause: the last statement, 999, could reach the router before the list that has the slow engine leave (the test handed the event over and went on), and then rightly went there when its connection came up. The test waits now until the feed is asked on from that event. As strict as before: what may be sent where is unchanged.

--- a/internal/gateway/crossing_test.go
+++ b/internal/gateway/crossing_test.go
@@ -105,7 +105,10 @@
 							}()
 						}
 					}()
+					<-f.Asked
 					f.Events <- change(2, standin.Member("slow", listener.Addr().String(), "leaving"), at(e, "active"))
+					f.Events <- "" // asked on from there: it was taken, before what is sent now
+					require.Equal(t, "2", <-f.Asked)
 					return e
 				}
 		},
