Logs say why requests end, executions are over and connections close, and clock steps

At debug: a request taken and answered with its reason, an execution sent with the outcomes before it, given up with the reason, out no longer with its proof; client connections with why they ended. At info: an execution that is over because nobody asked for it. At warn: a step of the wall clock, with a count in the figures.

The execution's run is split into connect, start, follow and endings, as the proof belongs to the ending. TestStopping asks for the reason, too. Decisions are unchanged.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -235,6 +235,16 @@
 	NeverSent            // statement over, or no execution left
 )
 
+var outcomeNames = [...]string{"completed", "errored", "full", "timed out", "not connected", "reset", "cancelled", "never sent"}
+
+// String is the outcome's name in logs.
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return "unknown outcome"
+	}
+	return outcomeNames[o]
+}
+
 // The events.
 type (
 	// EngineList brings changes to the engine list, or all of it.
@@ -346,6 +356,22 @@
 func (Stopping) event()         {}
 func (PeerTold) event()         {}
 
+// Reason says why a statement was ended or an execution called off. It is for logs: nothing is decided by it.
+type Reason string
+
+// The reasons.
+const (
+	ReasonTimeUp      Reason = "the client's time is nearly up"
+	ReasonLate        Reason = "no answer that still counts is possible"
+	ReasonStopping    Reason = "the router stops"
+	ReasonTooManyOpen Reason = "too many statements are open"
+	ReasonNoRepeat    Reason = "the last execution failed and may not be repeated"
+	ReasonOver        Reason = "the statement is over"
+	ReasonSilent      Reason = "the execution tells nothing"
+	ReasonWaits       Reason = "the execution waits for a load"
+	ReasonSlow        Reason = "the execution is far slower than expected"
+)
+
 // Action is something to be done.
 type Action interface{ action() }
 
@@ -362,14 +388,19 @@
 	Cancel struct {
 		Statement StatementID
 		Execution ExecutionID
+		Why       Reason
 	}
 	// Reject ends a statement and tells the client that trying again is harmless.
 	Reject struct {
 		Statement StatementID
 		RetryIn   time.Duration // 0: no advice
+		Why       Reason
 	}
 	// Abort ends a statement and promises nothing.
-	Abort struct{ Statement StatementID }
+	Abort struct {
+		Statement StatementID
+		Why       Reason
+	}
 	// SetTerms names memory and priority of a statement's next executions.
 	SetTerms struct {
 		Statement StatementID
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -150,9 +150,9 @@
 	b.running.Go(func() {
 		defer cancel()
 		stop := context.AfterFunc(ctx, x.lapsed)
-		if outcome, result, known := x.run(); known { // else lapsed tells the end, and may yet have to begin
+		if end, known := x.run(); known { // else lapsed tells the end, and may yet have to begin
 			stop()
-			x.end(outcome, x.report, result)
+			x.end(end)
 		}
 	})
 	return x
--- /dev/null
+++ b/internal/back/calloff.go
@@ -0,0 +1,82 @@
+package back
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Proof is how it is known that an execution is out no longer, so that its statement may go elsewhere.
+type Proof int
+
+// The proofs.
+const (
+	ProofNotSent    Proof = iota // its start never came whole to the engine
+	ProofEngineSaid              // the engine told its end
+	ProofCalledOff               // the engine confirmed that it gave it up
+	ProofUnasked                 // nobody has asked for it for so long that the engine has dropped it
+	ProofNone                    // the router ends: nothing is sent any more
+)
+
+var proofNames = [...]string{"not sent", "the engine told its end", "the engine gave it up", "not asked for, so dropped", "none: the router ends"}
+
+// String is the proof's name in logs.
+func (p Proof) String() string { return proofNames[p] }
+
+// dropped is when the engine has dropped the execution at the latest, if it is not asked for it again.
+func (x *Execution) dropped() time.Time {
+	return time.Unix(0, x.asked.Load()).Add(pollHeld + forgets + forgetOff)
+}
+
+// callOff makes sure that the execution is out no longer. There are three proofs: the engine has answered that it
+// gave it up, after it had answered its start (a start that is still on its way would begin it anew); its end was
+// read; or the engine must have dropped what it was not asked for. That nobody listens there proves nothing: an
+// engine on its way out takes no new connections and runs on. It hears of it on one that it has taken, such as the poll's.
+func (x *Execution) callOff() Proof {
+	ctx, cancel := context.WithDeadline(x.back.ctx, x.dropped())
+	defer cancel()
+	for ctx.Err() == nil {
+		answered := isClosed(x.heard)
+		if x.delete(ctx) {
+			if answered {
+				return ProofCalledOff
+			}
+			select { // again, behind the answer to the start
+			case <-x.heard:
+				continue
+			case <-x.over:
+				return ProofEngineSaid
+			case <-ctx.Done():
+			}
+			break
+		}
+		select {
+		case <-time.After(askAgain):
+		case <-x.over:
+			return ProofEngineSaid
+		case <-ctx.Done():
+		}
+	}
+	if x.back.ctx.Err() != nil {
+		return ProofNone
+	}
+	return ProofUnasked
+}
+
+// delete tells the engine that the execution is given up, and whether it has answered so.
+func (x *Execution) delete(ctx context.Context) bool {
+	c, err := x.back.pool.get(ctx, x.Engine, x.address, false)
+	if err != nil {
+		return false
+	}
+	head, _, _, err := c.do(time.Now().Add(pollHeld+pollSlack), message("DELETE", x.path, c.address, nil))
+	x.back.log.Debug("called off", zap.String("statement", string(x.Statement)), zap.String("engine", string(x.Engine)),
+		zap.Duration("after", time.Since(x.sent)), zap.Int("status", head.Status), zap.Error(err))
+	if err != nil || head.Close || c.look() != quiet {
+		x.back.pool.drop(c)
+	} else {
+		x.back.pool.put(c)
+	}
+	return err == nil && (head.Status == 204 || head.Status == 500) // 500: it is known there no longer
+}
--- a/internal/back/execution_test.go
+++ b/internal/back/execution_test.go
@@ -65,9 +65,10 @@
 	over, lapse := context.WithCancel(ctx)
 	lapse()
 	x := &Execution{back: b, ctx: over, Order: Order{Statement: "late", Engine: "e", Until: time.Now().Add(time.Minute)}}
-	outcome, _, known := x.run()
-	assert.True(t, known && outcome == decision.NeverSent)
-	seen["late"] = outcome
+	end, known := x.run()
+	assert.True(t, known)
+	assert.Equal(t, ending{outcome: decision.NeverSent, proof: ProofNotSent}, end)
+	seen["late"] = end.outcome
 
 	cancel()
 	require.NoError(t, b.Tend(ctx))
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -310,8 +310,9 @@
 	flow    chan struct{} // reading may go on
 	done    <-chan struct{}
 
-	since time.Time   // it was accepted
-	lost  atomic.Bool // nothing on it can be read any more
+	since time.Time                   // it was accepted
+	lost  atomic.Bool                 // nothing on it can be read any more
+	why   atomic.Pointer[closeReason] // it ends; nil: it does not, as far as is known
 
 	mu       sync.Mutex
 	out      []outgoing
@@ -441,6 +442,7 @@
 		}
 	}
 	if gone { // what the kernel holds is still sent
+		c.because(closedReleased)
 		c.raw.Close()
 	}
 }
@@ -517,6 +519,7 @@
 		return false
 	}
 	c.ended = true
+	c.because(closedForRoom)
 	c.raw.Close()
 	return true
 }
@@ -559,6 +562,7 @@
 	clear(c.open)
 	c.ended, c.over = true, time.Now()
 	c.mu.Unlock()
+	c.logEnd(left)
 	if len(left) > 0 {
 		c.front.taker.Left(c, left)
 	}
@@ -592,6 +596,7 @@
 		if unfit > 0 { // the answers are on their way; what cannot be used is read no faster than this
 			time.Sleep(min(unfitPauseMost, time.Duration(unfit)*unfitPause))
 			if c.glance(buf.Next()) {
+				c.because(closedByClient)
 				return
 			}
 		}
@@ -603,6 +608,7 @@
 		}
 		waited, gone := c.awaitFlow(buf.Next())
 		if gone {
+			c.because(closedByClient)
 			return
 		}
 		if waited { // the router was the one who was waited for
@@ -633,6 +639,7 @@
 					c.lose("the frame did not come whole in time")
 				}
 			}
+			c.readEnded(err)
 			return
 		}
 	}
@@ -664,6 +671,7 @@
 // comes meanwhile is thrown away, since the kernel would throw away what waits for the client if the connection were
 // closed with bytes unread.
 func (c *Conn) lose(why string) {
+	c.because(closedUnfit)
 	c.fault(why)
 	c.lost.Store(true)
 	waste, told, until := make([]byte, freeFrame), false, time.Time{}
@@ -677,6 +685,7 @@
 		c.raw.SetReadDeadline(time.Now().Add(spillLook))
 		n, err := c.raw.Read(waste)
 		if err != nil && !isTimeout(err) {
+			c.readEnded(err)
 			return
 		}
 		if n > 0 { // no faster than what cannot be used
@@ -834,6 +843,7 @@
 		delete(c.open, stream)
 		c.idle = time.Now()
 	case stream == 0 && len(c.out) >= mostQueued:
+		c.because(closedNotRead)
 		c.raw.Close()
 	default:
 		o := outgoing{bytes, stream}
@@ -908,6 +918,7 @@
 			c.raw.SetWriteDeadline(time.Now().Add(writeTime))
 			_, err := batch.WriteTo(c.raw)
 			if err != nil {
+				c.because(closedNotWritten)
 				c.raw.Close() // the reader ends, and with it the connection
 			}
 			stalled := c.written(out)
--- a/internal/gateway/book.go
+++ b/internal/gateway/book.go
@@ -36,6 +36,7 @@
 	over     bool      // answered, or nobody waits
 	out      int       // executions without an end
 	execs    []*back.Execution
+	outcomes []decision.Outcome // of those that have ended, in the order in which they did
 	built    *sqltext.Statement // how its text is built, until the route has looked at it
 	sight    classify.Sight     // what ends of its executions teach about
 	missing  float64            // MB that an engine told to be missing, the most
@@ -58,10 +59,11 @@
 // executionEnded notes the end of an execution.
 func (r *route) executionEnded(s *statement, ev decision.ExecutionEnded) {
 	s.out--
+	s.outcomes = append(s.outcomes, ev.Outcome)
 	r.learn(s, ev)
 	r.gateway.figures.ended(ev.Outcome)
 	r.gateway.log.Debug("execution ended", zap.String("statement", string(s.id)), zap.Int("execution", int(ev.Execution)),
-		zap.String("engine", string(ev.Engine)), zap.String("workload", s.workload), zap.Int("outcome", int(ev.Outcome)),
+		zap.String("engine", string(ev.Engine)), zap.String("workload", s.workload), zap.Stringer("outcome", ev.Outcome),
 		zap.Duration("took", ev.Took), zap.Any("report", ev.Report))
 	if s.over && s.out == 0 {
 		r.giveBack(s)
@@ -155,7 +157,7 @@
 			zap.Int64("completed", f.completed.Load()), zap.Int64("rejected", f.rejected.Load()),
 			zap.Int64("aborted", f.aborted.Load()), zap.Int64("left", f.left.Load()), zap.Int64("unfit", f.unfit.Load()),
 			zap.Int64("executions", f.executions.Load()), zap.Int64s("outcomes", outcomes), zap.Int64("probes", f.probes.Load()),
-			zap.Int64("evicted_clients", g.front.Evicted()), zap.Int("engine_connections", g.back.Descriptors()), zap.Any("dials", g.back.Dials()), zap.Int64("text_bytes", texts), zap.Int64("answer_bytes", out), zap.Any("slow_clients", slow),
+			zap.Int64("wall_clock_steps", g.wallClock.steps.Load()), zap.Int64("evicted_clients", g.front.Evicted()), zap.Int("engine_connections", g.back.Descriptors()), zap.Any("dials", g.back.Dials()), zap.Int64("text_bytes", texts), zap.Int64("answer_bytes", out), zap.Any("slow_clients", slow),
 			zap.Duration("delay_mean", time.Duration(f.delaySum.Swap(0)/n)),
 			zap.Duration("delay_most", time.Duration(f.delayMost.Swap(0))))
 		g.reportLooks()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,7 @@
 	stopping   atomic.Bool // SIGTERM has come
 	figures    figures
 	pulse      pulse
+	wallClock  wallClock
 	readers    sync.Pool // of analysers of texts
 	looks      atomic.Pointer[classify.Counts]
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -61,7 +61,7 @@
 	}}
 	g.route.open[s.id] = s
 	g.route.execute(decision.Execute{Statement: "x", Engine: "e"})
-	g.route.answer(s, rejected, nil)
+	g.route.answer(s, rejected, nil, decision.ReasonOver)
 	require.True(t, heard)
 	ended := (<-g.route.inbox).event.(decision.ExecutionEnded)
 	require.Equal(t, decision.NeverSent, ended.Outcome)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,6 +1,10 @@
 package gateway
 
 import (
+	"time"
+
+	"go.uber.org/zap"
+
 	"bankledge/decision"
 	"bankledge/internal/front"
 )
@@ -17,12 +21,20 @@
 // relay passes on a result, unless the statement is over already.
 func (r *route) relay(s *statement, result []byte) {
 	if !s.over {
-		r.answer(s, completed, result)
+		r.answer(s, completed, result, reasonCompleted)
 	}
 }
 
-// answer gives the one final answer; a second is not sent.
-func (r *route) answer(s *statement, code front.Code, body []byte) {
+// Reasons for an answer that the decisions do not give.
+const (
+	reasonCompleted  decision.Reason = "an execution completed"
+	reasonIDInUse    decision.Reason = "the id is in use"
+	reasonReleased   decision.Reason = "the client takes its answers in too slowly"
+	reasonUnanswered decision.Reason = "the decisions left it without an answer"
+)
+
+// answer gives the one final answer; a second is not sent. The reason is for the log.
+func (r *route) answer(s *statement, code front.Code, body []byte, why decision.Reason) {
 	if s.over {
 		return
 	}
@@ -34,11 +46,14 @@
 		r.also = append(r.also, decision.ClientReads{Statements: r.openOf(s.client)})
 	}
 	r.gateway.figures.answered(code)
+	r.gateway.log.Debug("statement answered", zap.String("statement", string(s.id)), zap.Uint8("code", uint8(code)), zap.String("why", string(why)),
+		zap.Int("executions", len(s.execs)), zap.Duration("after", time.Since(s.taken)))
 }
 
 // endUnanswered ends a statement for which nobody waits any more.
 func (r *route) endUnanswered(s *statement) {
 	s.client.Release(s.stream)
+	r.gateway.log.Debug("client left", zap.String("statement", string(s.id)), zap.Int("executions", len(s.execs)), zap.Int("out", s.out))
 	r.gateway.figures.left.Add(1)
 	r.close(s)
 }
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -69,6 +69,7 @@
 		if r.gateway.pulse.strike(r.gateway.now()) {
 			r.gateway.hearList()
 		}
+		r.gateway.watchWallClock()
 		runtime.Gosched() // whoever has something to post does so first: what is ready makes one batch
 		for n := len(r.inbox); n > 0; n-- {
 			batch = append(batch, <-r.inbox)
@@ -165,7 +166,7 @@
 		}
 	case decision.StatementArrived:
 		if r.open[ev.Statement] != nil || r.used.has(ev.Statement) { // an engine knows it as another: this one never ran
-			r.answer(in.stmt, rejected, []byte("id is in use"))
+			r.answer(in.stmt, rejected, []byte("id is in use"), reasonIDInUse)
 			return nil
 		}
 		r.open[ev.Statement] = in.stmt
@@ -221,7 +222,7 @@
 func (r *route) releaseClient(in *release) decision.Event {
 	ids := r.openOf(in.client)
 	for _, id := range ids {
-		r.answer(r.open[id], aborted, []byte(in.why))
+		r.answer(r.open[id], aborted, []byte(in.why), reasonReleased)
 	}
 	return decision.ClientReads{Statements: ids, Gone: true}
 }
@@ -238,7 +239,7 @@
 	for _, s := range r.open {
 		if !s.over && now.After(s.ends) {
 			r.gateway.log.Error("a statement was left without an answer", zap.String("statement", string(s.id)))
-			r.answer(s, aborted, nil)
+			r.answer(s, aborted, nil, reasonUnanswered)
 			r.handle([]input{{event: decision.ClientLeft{Statement: s.id}}})
 		}
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -18,15 +18,16 @@
 		r.execute(a)
 	case decision.Cancel:
 		if s := r.open[a.Statement]; s != nil && int(a.Execution) < len(s.execs) {
+			log.Debug("execution given up", zap.String("statement", string(s.id)), zap.Int("execution", int(a.Execution)), zap.String("why", string(a.Why)))
 			s.execs[a.Execution].GiveUp()
 		}
 	case decision.Reject:
 		if s := r.open[a.Statement]; s != nil {
-			r.answer(s, rejected, nil) // the protocol has no field for RetryIn
+			r.answer(s, rejected, nil, a.Why) // the protocol has no field for RetryIn
 		}
 	case decision.Abort:
 		if s := r.open[a.Statement]; s != nil {
-			r.answer(s, aborted, nil)
+			r.answer(s, aborted, nil, a.Why)
 		}
 	case decision.Probe:
 		r.gateway.figures.probes.Add(1)
@@ -64,6 +65,8 @@
 	if a.Before > 0 {
 		order.Before = r.gateway.origin.Add(a.Before)
 	}
+	r.gateway.log.Debug("execution sent", zap.String("statement", string(s.id)), zap.Int("execution", int(order.Execution)),
+		zap.String("engine", string(a.Engine)), zap.Stringers("earlier", s.outcomes), zap.Duration("time_left", time.Until(until)))
 	s.out++
 	r.gateway.figures.executions.Add(1)
 	s.execs = append(s.execs, r.gateway.back.Execute(order))
--- a/internal/gateway/takein.go
+++ b/internal/gateway/takein.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"bankledge/internal/front"
@@ -21,6 +23,8 @@
 		return why == noMemory
 	}
 	stmt.stream = stream
+	g.log.Debug("statement taken", zap.String("statement", string(stmt.id)), zap.String("workload", stmt.workload), zap.Uint32("stream", stream),
+		zap.Bool("resent", arrived.Resent), zap.Duration("budget", arrived.TimeBudget), zap.Duration("waited", time.Since(taken)))
 	g.figures.open.Add(1)
 	g.route.post(input{event: arrived, stmt: stmt})
 	return true
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -170,7 +170,7 @@
 		case decision.Stopping: // what is open by then can wait no longer for this router
 			m.due.At(now+ev.Within, func() {
 				for _, id := range slices.Sorted(maps.Keys(m.stmts)) {
-					m.giveUp(m.stmts[id])
+					m.giveUp(m.stmts[id], decision.ReasonStopping)
 				}
 			})
 		}
@@ -236,9 +236,9 @@
 		s.Key = ev.Key
 		m.keys.Join(s)
 	}
-	m.due.At(s.Last, func() { m.giveUp(s) })
+	m.due.At(s.Last, func() { m.giveUp(s, decision.ReasonTimeUp) })
 	if m.held = append(m.held, s); m.limits.MaxOpen > 0 && len(m.stmts) >= m.limits.MaxOpen-1 {
-		m.giveUp(s)
+		m.giveUp(s, decision.ReasonTooManyOpen)
 	}
 }
 
@@ -494,14 +494,14 @@
 // ---- 2. The clock: what ends a statement, and the periodic work ----
 
 // giveUp ends a statement at once: rejected where trying again is harmless, else aborted.
-func (m *Module) giveUp(s *statement) {
+func (m *Module) giveUp(s *statement, why decision.Reason) {
 	switch {
 	case s.Done || s.Streamed:
 		return
 	case !m.mayReject(s):
-		m.do(decision.Abort{Statement: s.ID})
+		m.do(decision.Abort{Statement: s.ID, Why: why})
 	default:
-		m.do(decision.Reject{Statement: s.ID, RetryIn: m.limits.MaxRetryAdvice})
+		m.do(decision.Reject{Statement: s.ID, RetryIn: m.limits.MaxRetryAdvice, Why: why})
 	}
 	m.finish(s)
 }
@@ -511,14 +511,14 @@
 	s.Done = true
 	delete(m.stmts, s.ID)
 	for _, x := range s.Execs {
-		m.cancel(x)
+		m.cancel(x, decision.ReasonOver)
 	}
 }
 
-func (m *Module) cancel(x *state.Execution) {
+func (m *Module) cancel(x *state.Execution, why decision.Reason) {
 	if !x.Ended && !x.Cancelled && m.limits.MayCancel {
 		x.Cancelled = true
-		m.do(decision.Cancel{Statement: x.Stmt.ID, Execution: x.N})
+		m.do(decision.Cancel{Statement: x.Stmt.ID, Execution: x.N, Why: why})
 	}
 }
 
@@ -626,7 +626,7 @@
 		}
 		if m.now > max(e.LastNews, x.Sent)+patience {
 			m.leave(e, false)
-			m.rescue(x)
+			m.rescue(x, decision.ReasonSilent)
 		}
 	}
 }
@@ -663,13 +663,13 @@
 	case decision.NoteWaits: // another router's load holds its tables there: others keep off for a while
 		if ev.Value == decision.WaitsForLoad {
 			x.Engine.Loaded(s.Tables, m.now, m.now+loadKnown*m.traits.ProgressEvery)
-			m.rescue(x)
+			m.rescue(x, decision.ReasonWaits)
 		}
 	case decision.NoteProgress: // at this pace many times the expected run: a bad plan
 		elapsed := (m.now - x.Sent).Seconds()
 		left := elapsed * (1 - ev.Value) / max(ev.Value, 0.002)
 		if run := s.Run.Seconds(); elapsed+left > badPlan*max(run, 0.5) && left > 2*run {
-			m.rescue(x)
+			m.rescue(x, decision.ReasonSlow)
 		} else if ev.Value > halfDone && m.traits.Priorities && s.Terms.Priority != 3 {
 			s.Terms = decision.SetTerms{Statement: s.ID, GrantMB: s.Terms.GrantMB, Priority: 3}
 			m.do(s.Terms) // what is nearly done frees its memory and threads soonest
@@ -678,13 +678,13 @@
 }
 
 // rescue calls off an execution that is stuck or has a bad plan, so that it may go elsewhere.
-func (m *Module) rescue(x *state.Execution) {
+func (m *Module) rescue(x *state.Execution, why decision.Reason) {
 	s := x.Stmt
 	if s.Done || s.Streamed || s.Effect != decision.Idempotent || !m.mayRepeat(s) {
 		return
 	}
 	x.Engine.Turn = m.turns + len(m.fleet.All) // not again before each engine might have had its turn
-	if m.cancel(x); !x.Cancelled && m.limits.SecondCopies && s.Open == 1 && !slices.Contains(m.held, s) {
+	if m.cancel(x, why); !x.Cancelled && m.limits.SecondCopies && s.Open == 1 && !slices.Contains(m.held, s) {
 		s.Avoid = x.Engine // no cancel here, but a second copy
 		m.hold(s)
 	}
@@ -748,7 +748,7 @@
 		s.Avoid = e
 		m.hold(s)
 	default:
-		m.giveUp(s)
+		m.giveUp(s, decision.ReasonNoRepeat)
 	}
 }
 
@@ -805,7 +805,7 @@
 		lastStart := s.End - time.Duration(w.Pace*float64(s.Run)) // what starts later works for nobody
 		if s.Open == 0 && !s.Workload.Protected && (m.now > lastStart ||
 			s.Workload.LateShare == 0 && m.now > (s.SLODue+s.LatestStart())/2) {
-			m.giveUp(s) // no answer in time, or none that still counts
+			m.giveUp(s, decision.ReasonLate) // no answer in time, or none that still counts
 		}
 		if s.Aside = s.Unread && !s.Done; s.Aside { // until its client reads: what is held is looked at often
 			return true
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -716,7 +716,7 @@
 		rejected = append(rejected, r.Statement)
 	}
 	assert.Equal(t, []decision.StatementID{"1", "2", "4"}, rejected)
-	assert.Equal(t, []decision.Abort{{Statement: "3"}}, pick[decision.Abort](b), "it may have run")
+	assert.Equal(t, []decision.Abort{{Statement: "3", Why: decision.ReasonStopping}}, pick[decision.Abort](b), "it may have run")
 }
 
 // Loads go to the half of the hash where their group is read least, and where that is congested to all engines but
