When an engine was last asked for an execution is kept on the monotonic clock

Cause: Execution.asked was a Unix time (execution.go, begin; calls.go, ask), and dropped, callOff, fetch and doubtful compared it with the wall clock. A step forwards by over 2.55 s made callOff end at once, without a DELETE, and a refused connection the proof that the engine had dropped the execution: its statement went elsewhere while it still ran. A step back kept the end of an execution back by as much.

Change: the time is kept as a span since an origin with a monotonic reading.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -41,6 +41,7 @@
 	log      *zap.Logger
 	pool     *pool
 	ctx      context.Context // ends the executions
+	origin   time.Time       // of its clock, with a monotonic reading
 	running  sync.WaitGroup
 
 	Hear func() // called before an execution begins: waits for what was told of engines and is not known here yet; nil: nobody has to
@@ -49,7 +50,7 @@
 // New returns a back that uses at most so many descriptors. All that it starts ends with ctx.
 func New(ctx context.Context, listener Listener, descriptors int, idleClose, connectIn time.Duration,
 	log *zap.Logger) *Back {
-	return &Back{listener: listener, log: log, ctx: ctx,
+	return &Back{listener: listener, log: log, ctx: ctx, origin: time.Now(),
 		pool: newPool(descriptors, time.Duration(idleShare*float64(idleClose)), connectIn)}
 }
 
--- a/internal/back/calloff.go
+++ b/internal/back/calloff.go
@@ -26,7 +26,7 @@
 
 // dropped is when the engine has dropped the execution at the latest, if it is not asked for it again.
 func (x *Execution) dropped() time.Time {
-	return time.Unix(0, x.asked.Load()).Add(pollHeld + forgets + forgetOff)
+	return x.asked.time(x.back.origin).Add(pollHeld + forgets + forgetOff)
 }
 
 // callOff makes sure that the execution is out no longer. There are three proofs: the engine has answered that it
--- a/internal/back/calls.go
+++ b/internal/back/calls.go
@@ -26,7 +26,7 @@
 func (x *Execution) doubtful(said answer) bool {
 	note, before := said.Get(fieldNote)+" "+said.Get(fieldValue), x.noted
 	x.noted = note
-	return (note == " " || note == before) && time.Since(time.Unix(0, x.asked.Load())) < pollHeld/4
+	return (note == " " || note == before) && x.unaskedFor() < pollHeld/4
 }
 
 // isOver tells errors after which nothing is asked again.
@@ -37,7 +37,7 @@
 // ask makes one call on the connection that the execution holds, and waits so long for its answer.
 func (x *Execution) ask(within time.Duration, call []byte) (said answer, whole bool, err error) {
 	now := time.Now()
-	x.asked.Store(now.UnixNano())
+	x.asked.set(x.back.origin, now)
 	said.Head, said.body, whole, err = x.conn.do(now.Add(within), call)
 	found := ended
 	if err == nil {
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -26,7 +26,7 @@
 	ctx     context.Context // ends when it is revoked or given up
 	cancel  context.CancelFunc
 	stage   atomic.Int32 // waiting, then started or revoked
-	asked   atomic.Int64 // Unix nanoseconds when the engine was last asked for it, at the latest
+	asked   instant      // when the engine was last asked for it, at the latest
 	ended   sync.Once
 	heard   chan struct{} // closed once the start has come to the engine or never will: nothing of it is on its way
 	over    chan struct{} // closed once an answer has proven that it runs no longer
@@ -59,11 +59,14 @@
 	if x.back.Hear != nil {
 		x.back.Hear()
 	}
-	x.asked.Store(time.Now().UnixNano())
+	x.asked.set(x.back.origin, time.Now())
 	return x.back.pool.mayBegin(x.Engine, x.address) && !x.tooLate() && x.stage.CompareAndSwap(waiting, started) &&
 		x.ctx.Err() == nil // lapsed may have looked before it was started
 }
 
+// unaskedFor is how long ago the engine was last asked for it.
+func (x *Execution) unaskedFor() time.Duration { return time.Since(x.asked.time(x.back.origin)) }
+
 // tooLate tells whether it must not begin any more.
 func (x *Execution) tooLate() bool { return !x.Before.IsZero() && !time.Now().Before(x.Before) }
 
@@ -109,7 +112,7 @@
 	}
 	x.back.log.Log(level, "execution is out no longer", zap.String("statement", string(x.Statement)), zap.Int("execution", int(x.Order.Execution)),
 		zap.String("engine", string(x.Engine)), zap.Stringer("outcome", end.outcome), zap.Stringer("proof", end.proof),
-		zap.Duration("after", time.Since(x.sent)), zap.Duration("unasked_for", time.Since(time.Unix(0, x.asked.Load()))))
+		zap.Duration("after", time.Since(x.sent)), zap.Duration("unasked_for", x.unaskedFor()))
 }
 
 var (
