An engine's age by the wall clock is not believed where the control feed contradicts it

A router that starts on a host whose clock is ahead took an engine that had just started for one that is long warm, which breaks the slow start; behind, each further word of the engine made it start anew.

Change: engineStarts (internal/feed/starts.go). What was worked out for a start stays. Parse no longer knows of clocks. The cases of TestParse on times moved to TestEngineStarts, with more; five of them and TestAnEngineThatIsToldOfIsNew fail with the check taken out. Not covered: engines of the configuration itself at the start, for which nothing contradicts the clock.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -39,7 +39,8 @@
 // Member is an engine in a change, with the address where it listens.
 type Member struct {
 	decision.Entry
-	Address string
+	Address       string
+	upSinceMillis int64 // Unix time of a late start, or 0
 }
 
 // Change is one numbered event. Complete: it holds the whole list.
@@ -53,9 +54,8 @@
 var states = map[string]decision.EngineState{"active": decision.Ready, "leaving": decision.Draining,
 	"left": decision.Gone}
 
-// Parse reads one event; ok is false for an event that holds no list. Times of starts become spans since
-// origin; one before it is long ago, one after now counts as now.
-func Parse(raw []byte, origin, now time.Time) (c Change, ok bool, err error) {
+// Parse reads one event; ok is false for an event that holds no list. Times of starts are not worked out yet.
+func Parse(raw []byte) (c Change, ok bool, err error) {
 	var in struct {
 		N       int64 `json:"n"`
 		Members *struct {
@@ -92,12 +92,8 @@
 		if err := settings.CheckAddress(m.HostPort); err != nil && state != decision.Gone {
 			return c, false, fmt.Errorf("host_port of %s: %w", m.ID, err)
 		}
-		started := time.Duration(0)
-		if up := time.UnixMilli(int64(m.UpSince)); m.UpSince > 0 && up.After(origin) {
-			started = min(up.Sub(origin), now.Sub(origin))
-		}
-		c.Members = append(c.Members, Member{Address: m.HostPort, Entry: decision.Entry{Engine: m.ID,
-			Zone: m.Locality, Kind: m.Flavor, Cell: m.Cell, State: state, Weight: m.Size, StartedAt: started}})
+		c.Members = append(c.Members, Member{Address: m.HostPort, upSinceMillis: int64(m.UpSince), Entry: decision.Entry{Engine: m.ID,
+			Zone: m.Locality, Kind: m.Flavor, Cell: m.Cell, State: state, Weight: m.Size}})
 	}
 	return c, true, nil
 }
@@ -105,11 +101,12 @@
 // Feed follows the control feed at an address.
 type Feed struct {
 	Address string
-	Origin  time.Time // of the module's clock
-	Last    int64     // number of the last event taken
+	Last    int64 // number of the last event taken
 	Take    func(Change)
 	Log     *zap.Logger
 
+	starts engineStarts
+	synced time.Time                   // when all that the feed had to tell was known; zero: never yet
 	conn   atomic.Pointer[net.TCPConn] // the connection that is followed
 	waits  atomic.Bool                 // for what comes next: all that was read has been taken
 	stream *alive                      // the same
@@ -124,6 +121,34 @@
 	leave context.CancelFunc // ends the present connection, or the pause before the next
 }
 
+// New prepares to follow the control feed at an address, with take hearing each change. origin is that of the router's clock.
+func New(address string, origin time.Time, take func(Change), log *zap.Logger) *Feed {
+	return &Feed{Address: address, Take: take, Log: log, starts: engineStarts{origin: origin}}
+}
+
+// Known reads the events of the configuration, before the feed is followed: it hands out those that hold a list, and goes on from last.
+func (f *Feed) Known(events []json.RawMessage, take func(Change)) (last int64, err error) {
+	for _, raw := range events {
+		c, held, err := f.read(raw)
+		if err != nil {
+			return last, fmt.Errorf("known.events: %w", err)
+		}
+		if last = max(last, c.Number); held {
+			take(c)
+		}
+	}
+	f.synced = time.Now() // what is not among them comes after the start
+	return last, nil
+}
+
+// read reads one event that is heard now.
+func (f *Feed) read(raw []byte) (c Change, ok bool, err error) {
+	if c, ok, err = Parse(raw); err == nil {
+		f.starts.resolve(&c, f.synced, time.Now())
+	}
+	return c, ok, err
+}
+
 // place is where the feed is to be found, and the events that are known from elsewhere.
 type place struct {
 	address string
@@ -160,7 +185,7 @@
 // catchUp takes what is new of a list of events, as far as it follows on what was taken.
 func (f *Feed) catchUp(known []json.RawMessage) {
 	for _, raw := range known {
-		c, held, err := Parse(raw, f.Origin, time.Now())
+		c, held, err := f.read(raw)
 		if err != nil || c.Number > f.Last+1 && !c.Complete {
 			return // the feed itself tells of it
 		}
@@ -343,17 +368,24 @@
 
 // events reads server-sent events until the stream ends or one calls for a new connection.
 func (f *Feed) events(body io.Reader) error {
-	return sse.Read(body, mostEvent, func(e sse.Event) error {
-		if f.stream != nil {
-			f.stream.event = time.Now()
-		}
-		return f.event(e.ID, e.Data)
+	return sse.Read(body, mostEvent, sse.Handler{
+		Event: func(e sse.Event) error {
+			if f.stream != nil {
+				f.stream.event = time.Now()
+			}
+			err := f.event(e.ID, e.Data)
+			if err == nil {
+				f.synced = time.Now()
+			}
+			return err
+		},
+		Comment: func() { f.synced = time.Now() },
 	})
 }
 
 // event takes one event: repeats are passed over, a gap is asked for again once.
 func (f *Feed) event(id, data string) error {
-	c, held, err := Parse([]byte(data), f.Origin, time.Now())
+	c, held, err := f.read([]byte(data))
 	if n, bad := strconv.ParseInt(id, 10, 64); bad == nil {
 		c.Number = n
 	}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"testing"
 	"testing/iotest"
-	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -61,18 +60,14 @@
 }
 
 func TestParse(t *testing.T) {
-	origin := time.UnixMilli(1_000_000)
-	now := origin.Add(time.Hour)
 	for _, c := range []struct {
 		name, from, to string // replaced in the member
-		started        time.Duration
+		upSince        int64
 		state          decision.EngineState
 		err            string
 	}{
 		{"as it is", "", "", 0, decision.Ready, ""},
-		{"started late", `"size":4`, `"up_since_ms":1090000`, 90 * time.Second, decision.Ready, ""},
-		{"started before the clock", `"size":4`, `"up_since_ms":5`, 0, decision.Ready, ""},
-		{"started in the future", `"size":4`, `"up_since_ms":99000000000`, time.Hour, decision.Ready, ""},
+		{"started late", `"size":4`, `"up_since_ms":1090000`, 1090000, decision.Ready, ""},
 		{"drains", "active", "leaving", 0, decision.Draining, ""},
 		{"gone, address and all", `"127.0.0.1:9","locality":"z","flavor":"k","cell":2,"phase":"active"`, `"","phase":"left"`, 0, decision.Gone, ""},
 		{"an unknown state", "active", "asleep", 0, 0, "unknown word"},
@@ -82,14 +77,14 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			raw := `{"n":3,"members":{"revision":9,"complete":true,"members":[` + strings.Replace(member, c.from, c.to, 1) + `]}}`
-			got, ok, err := Parse([]byte(raw), origin, now)
+			got, ok, err := Parse([]byte(raw))
 			if c.err != "" {
 				require.ErrorContains(t, err, c.err)
 				return
 			}
 			require.NoError(t, err)
 			require.True(t, ok && got.Complete && got.Number == 3 && got.Version == 9 && len(got.Members) == 1)
-			assert.Equal(t, c.started, got.Members[0].StartedAt)
+			assert.Equal(t, c.upSince, got.Members[0].upSinceMillis)
 			assert.Equal(t, c.state, got.Members[0].State)
 		})
 	}
--- /dev/null
+++ b/internal/feed/starts_test.go
@@ -0,0 +1,93 @@
+package feed
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"bankledge/decision"
+)
+
+// An engine's start is taken from the wall clock only where what the feed has told does not contradict it. A wall clock that is wrong by an
+// amount is one that says so of every start.
+func TestEngineStarts(t *testing.T) {
+	origin := time.Now()
+	now := origin.Add(time.Hour)
+	for _, c := range []struct {
+		name    string
+		started time.Duration // on the router's clock, as the wall clock has it
+		synced  time.Duration // when all was known that had been told; 0: never
+		want    time.Duration
+	}{
+		{"a while ago, as far as is known", 10 * time.Minute, 0, 10 * time.Minute},
+		{"before the clock", -time.Second, 0, 0},
+		{"in the future: the wall clock was behind", 2 * time.Hour, 0, time.Hour},
+		{"in the future, told just now", 2 * time.Hour, time.Hour, time.Hour},
+		{"told as late as may be", time.Hour - toldWithin + 2*time.Millisecond, time.Hour, time.Hour - toldWithin + 2*time.Millisecond},
+		{"told later than may be: the wall clock was ahead", time.Hour - toldWithin - time.Millisecond, time.Hour, time.Hour},
+		{"an hour ago, told just now: the wall clock was ahead", 0, time.Hour, time.Hour},
+		{"before the clock, told just now", -time.Hour, time.Hour, time.Hour},
+		{"while the feed was away", 50 * time.Minute, 49 * time.Minute, 50 * time.Minute},
+		{"long before the feed was away", 20 * time.Minute, 49 * time.Minute, time.Hour},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := engineStarts{origin: origin}
+			synced := time.Time{}
+			if c.synced > 0 {
+				synced = origin.Add(c.synced)
+			}
+			millis := origin.Add(c.started).UnixMilli()
+			got := s.at("e", millis, synced, now)
+			assert.InDelta(t, c.want.Seconds(), got.Seconds(), 0.001)
+			later := now.Add(time.Minute)
+			assert.Equal(t, got, s.at("e", millis, later, later), "what was worked out for a start stays")
+			assert.Greater(t, s.at("e", later.UnixMilli(), later, later), got, "another start is another")
+		})
+	}
+	s := engineStarts{origin: origin}
+	assert.Zero(t, s.at("e", 0, now, now), "no late start")
+	assert.Empty(t, s.byID)
+}
+
+// What is remembered of engines that are gone is bounded, and what is listed is remembered.
+func TestEngineStartsAreForgotten(t *testing.T) {
+	s := engineStarts{origin: time.Now()}
+	tell := func(id string, state decision.EngineState) {
+		c := Change{Members: []Member{{Entry: decision.Entry{Engine: decision.EngineID(id), State: state}, upSinceMillis: 1}}}
+		s.resolve(&c, time.Time{}, time.Now())
+	}
+	tell("listed", decision.Ready)
+	tell("back", decision.Gone)
+	tell("back", decision.Ready)
+	for i := range 5 * mostStarts {
+		tell(fmt.Sprint(i), decision.Ready)
+		tell(fmt.Sprint(i), decision.Gone)
+		require.LessOrEqual(t, len(s.byID), mostStarts)
+	}
+	assert.Contains(t, s.byID, decision.EngineID("listed"))
+	assert.Contains(t, s.byID, decision.EngineID("back"))
+}
+
+// An engine that the feed tells of as new, while it is followed, has just started, whatever this host's wall clock says of that.
+func TestAnEngineThatIsToldOfIsNew(t *testing.T) {
+	const ago = 30 * time.Minute // by a wall clock that is ahead
+	late := fmt.Sprintf(`{"n":2,"members":{"members":[{"id":"e2","host_port":"127.0.0.1:9","phase":"active","up_since_ms":%d}]}}`, time.Now().Add(-ago).UnixMilli())
+	address, _ := scripted(t, says(streamHead+":\n\nid: 2\ndata: "+late+"\n\n"))
+	took := make(chan Change, 1)
+	f := New(address, time.Now().Add(-time.Hour), func(c Change) { took <- c }, zap.NewNop())
+	_, err := f.Known(nil, func(Change) {})
+	require.NoError(t, err)
+	f.Last = 1
+	followed := make(chan error, 1)
+	go func() { followed <- f.Follow(t.Context()) }()
+	select {
+	case c := <-took:
+		assert.InDelta(t, time.Hour.Seconds(), c.Members[0].StartedAt.Seconds(), 10)
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing was told")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	follow := &feed.Feed{Address: g.cfg.Feed, Origin: g.origin, Log: g.log, Take: g.changed}
+	follow := feed.New(g.cfg.Feed, g.origin, g.changed, g.log)
 	g.follow = follow
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return g.route.run(ctx) })
@@ -165,21 +165,14 @@
 
 // knownChanges hands the changes of the configuration to the module.
 func (g *Gateway) knownChanges() (engines []decision.EngineID, err error) {
-	for _, raw := range g.cfg.Known {
-		c, held, err := feed.Parse(raw, g.origin, time.Now())
-		if err != nil {
-			return nil, fmt.Errorf("known.events: %w", err)
-		}
-		g.cfg.LastID = max(g.cfg.LastID, c.Number)
-		if !held {
-			continue
-		}
+	last, err := g.follow.Known(g.cfg.Known, func(c feed.Change) {
 		g.list(c, decision.ListPersisted)
 		for _, m := range c.Members {
 			engines = append(engines, m.Engine)
 		}
-	}
-	return engines, nil
+	})
+	g.cfg.LastID = max(g.cfg.LastID, last)
+	return engines, err
 }
 
 // changed takes a change from the control feed.
@@ -320,7 +313,7 @@
 // Check tells what is wrong with a configuration beyond its settings.
 func Check(cfg *settings.Config) error {
 	for i, raw := range cfg.Known {
-		if _, _, err := feed.Parse(raw, time.Unix(0, 0), time.Now()); err != nil {
+		if _, _, err := feed.Parse(raw); err != nil {
 			return fmt.Errorf("known.events[%d]: %w", i, err)
 		}
 	}
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -16,8 +16,14 @@
 // ErrTooLarge tells of an event beyond the limit.
 var ErrTooLarge = errors.New("event too large")
 
-// Read hands out the events of a stream until it ends (io.EOF), breaks, brings an event of over most bytes, or take returns an error.
-func Read(body io.Reader, most int, take func(Event) error) error {
+// Handler hears what a stream brings.
+type Handler struct {
+	Event   func(Event) error // an error ends the reading
+	Comment func()            // nil: comments are passed over
+}
+
+// Read hands out a stream until it ends (io.EOF), breaks, brings an event of over most bytes, or the handler returns an error.
+func Read(body io.Reader, most int, handler Handler) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, min(most, 4<<10)), most)
 	lines.Split(split)
@@ -32,7 +38,7 @@
 		if line == "" {
 			if len(data) > 0 {
 				e.Data = strings.Join(data, "\n")
-				if err := take(e); err != nil {
+				if err := handler.Event(e); err != nil {
 					return err
 				}
 			}
@@ -51,6 +57,10 @@
 			e.ID = value
 		case "event":
 			e.Name = value
+		case "":
+			if handler.Comment != nil {
+				handler.Comment()
+			}
 		}
 	}
 	if err := lines.Err(); err != nil {
--- a/internal/steer/link.go
+++ b/internal/steer/link.go
@@ -218,7 +218,7 @@
 	if head.Status != 200 {
 		return fmt.Errorf("the group answered %d", head.Status)
 	}
-	return sse.Read(reader.Body(head), version.Most+mostReply, func(e sse.Event) error { return l.news(ctx, e) })
+	return sse.Read(reader.Body(head), version.Most+mostReply, sse.Handler{Event: func(e sse.Event) error { return l.news(ctx, e) }})
 }
 
 // news posts an event of the stream. What can't be read is said, and ends the stream: it comes again on the next one.
