An execution counts as over only with a proof that nothing prolongs or repeats

(1) callOff asks again when the engine drops the execution, since a poll beside it may have gone out: TestAPollGoesOutWhileItIsCalledOff passes (over after 2 s and more, 0.55 s before). (2) A connection with a call that has no answer is reset, not closed, also when the router ends: TestAStartThatIsHeldUpOnItsWay passes; TestAStartOnItsWayWhenTheRouterEnds fails without it. (3) A connection that brought the word that a start never ran is not used again: its late second copy was believed of the next statement, which ran and was sent elsewhere; TestALateSecondNeverRanIsNobodyElses fails without it (outcome full, completed wanted).

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -115,10 +115,10 @@
 	head, _, _, err := c.do(until, message("GET", "/busy", c.address, nil))
 	switch {
 	case isTimeout(err):
-		b.pool.drop(c)
+		b.pool.abort(c)
 		return decision.TimedOut, nil
 	case err != nil:
-		b.pool.drop(c)
+		b.pool.abort(c)
 		return decision.Reset, nil
 	case head.Close || c.look() != quiet:
 		b.pool.drop(c)
--- a/internal/back/calloff.go
+++ b/internal/back/calloff.go
@@ -29,39 +29,47 @@
 	return x.asked.time(x.back.origin).Add(pollHeld + forgets + forgetOff)
 }
 
-// callOff makes sure that the execution is out no longer. There are three proofs: the engine has answered that it
+// callOff makes sure that the execution is out no longer, and tells by what proof. There are three: the engine has answered that it
 // gave it up, after it had answered its start (a start that is still on its way would begin it anew); its end was
 // read; or the engine must have dropped what it was not asked for. That nobody listens there proves nothing: an
 // engine on its way out takes no new connections and runs on. It hears of it on one that it has taken, such as the poll's.
 func (x *Execution) callOff() Proof {
-	ctx, cancel := context.WithDeadline(x.back.ctx, x.dropped())
+	for {
+		if proof, proven := x.callOffUntil(x.dropped()); proven {
+			return proof
+		}
+		if x.back.ctx.Err() != nil {
+			return ProofNone
+		}
+		if !time.Now().Before(x.dropped()) { // a poll beside this may have gone out since, which prolongs it
+			return ProofUnasked
+		}
+	}
+}
+
+// callOffUntil tries to have the engine give it up until a time.
+func (x *Execution) callOffUntil(until time.Time) (proof Proof, proven bool) {
+	ctx, cancel := context.WithDeadline(x.back.ctx, until)
 	defer cancel()
 	for ctx.Err() == nil {
 		answered := isClosed(x.heard)
-		if x.delete(ctx) {
-			if answered {
-				return ProofCalledOff
-			}
-			select { // again, behind the answer to the start
-			case <-x.heard:
-				continue
-			case <-x.over:
-				return ProofEngineSaid
-			case <-ctx.Done():
-			}
-			break
+		confirmed := x.delete(ctx)
+		if confirmed && answered {
+			return ProofCalledOff, true
+		}
+		retry, heard := time.After(askAgain), (chan struct{})(nil)
+		if confirmed { // again, behind the answer to the start
+			retry, heard = nil, x.heard
 		}
 		select {
-		case <-time.After(askAgain):
+		case <-retry:
+		case <-heard:
 		case <-x.over:
-			return ProofEngineSaid
+			return ProofEngineSaid, true
 		case <-ctx.Done():
 		}
 	}
-	if x.back.ctx.Err() != nil {
-		return ProofNone
-	}
-	return ProofUnasked
+	return 0, false
 }
 
 // delete tells the engine that the execution is given up, and whether it has answered so.
@@ -73,7 +81,9 @@
 	head, _, _, err := c.do(time.Now().Add(pollHeld+pollSlack), message("DELETE", x.path, c.address, nil))
 	x.back.log.Debug("called off", zap.String("statement", string(x.Statement)), zap.String("engine", string(x.Engine)),
 		zap.Duration("after", time.Since(x.sent)), zap.Int("status", head.Status), zap.Error(err))
-	if err != nil || head.Close || c.look() != quiet {
+	if err != nil {
+		x.back.pool.abort(c)
+	} else if head.Close || c.look() != quiet {
 		x.back.pool.drop(c)
 	} else {
 		x.back.pool.put(c)
--- a/internal/back/calls.go
+++ b/internal/back/calls.go
@@ -39,15 +39,17 @@
 	now := time.Now()
 	x.asked.set(x.back.origin, now)
 	said.Head, said.body, whole, err = x.conn.do(now.Add(within), call)
-	found := ended
-	if err == nil {
-		found = x.conn.look()
+	if err != nil {
+		x.abort()
+		return said, whole, err
 	}
+	x.conn.starting.Store(false)
+	found := x.conn.look()
 	said.more = found == noisy
-	if found != quiet || said.Close {
+	if found != quiet || said.Close || neverRan(said.Head) { // a late second copy of that would be believed of another execution
 		x.release(false)
 	}
-	return said, whole, err
+	return said, whole, nil
 }
 
 // isNews tells whether an answer is one that the protocol has for a start or for /0.
@@ -88,6 +90,12 @@
 	x.conn = nil
 }
 
+// abort resets the connection, on which a call has no answer: what of it is still on its way must not come to the engine later.
+func (x *Execution) abort() {
+	x.back.pool.abort(x.conn)
+	x.conn = nil
+}
+
 // fetch asks for news or a page until there is an answer of use: on another connection when one breaks, hangs
 // or brings what cannot be used.
 func (x *Execution) fetch(what string, within time.Duration, awaited func(answer) bool) (answer, error) {
--- a/internal/back/crossing_test.go
+++ b/internal/back/crossing_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"bankledge/decision"
+	"bankledge/internal/lab"
 	"bankledge/internal/standin"
 )
 
@@ -253,3 +254,25 @@
 	assert.GreaterOrEqual(t, time.Since(asked), forgets, "the engine still ran it")
 	x.release(true)
 }
+
+// The router ends while a start is held up on its way to an engine: it must not come there any more, since nobody is left to call it off.
+func TestAStartOnItsWayWhenTheRouterEnds(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	heard := calls(t, listener)
+	link, err := lab.NewLink(listener.Addr().String())
+	require.NoError(t, err)
+	defer link.Close()
+	link.Set(lab.Way{Cut: true}, lab.Way{Cut: true})
+	ctx, end := context.WithCancel(t.Context())
+	b := New(ctx, make(ends, 1), 4, time.Minute, patience, zap.NewNop())
+	b.Know("e", link.Address(), true)
+	b.Execute(Order{Statement: "s", Engine: "e", Text: []byte("update"), Until: time.Now().Add(time.Minute)})
+	require.Eventually(t, func() bool { return link.Held() > 0 }, patience, time.Millisecond)
+	end()
+	require.NoError(t, b.Tend(ctx))
+	require.Eventually(t, func() bool { return link.Resets() > 0 }, patience, time.Millisecond)
+	link.Set(lab.Way{}, lab.Way{})
+	require.Eventually(t, func() bool { return link.Held() == 0 }, patience, time.Millisecond)
+	assert.Never(t, func() bool { return len(heard) > 0 }, 200*time.Millisecond, time.Millisecond)
+}
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -135,7 +135,9 @@
 	defer func() {
 		if p := recover(); p != nil { // ends this execution alone
 			x.back.log.Error("an execution broke down", zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
-			x.release(false) // in the midst of a call, perhaps
+			if x.conn != nil { // in the midst of a call, perhaps
+				x.abort()
+			}
 			end, known = ending{outcome: decision.Errored, proof: x.callOff()}, true
 		}
 	}()
@@ -182,6 +184,7 @@
 	if left < time.Millisecond || !x.begin() {
 		return said, nil, false
 	}
+	x.conn.starting.Store(true)
 	said, whole, err := x.ask(pollHeld+pollSlack, message("POST", "/x", x.conn.address, x.Text, fieldID, string(x.Statement),
 		fieldWorkload, x.Workload, fieldLimit, millis(left), "Content-Length", strconv.Itoa(len(x.Text))))
 	if !whole {
--- a/internal/back/late_test.go
+++ b/internal/back/late_test.go
@@ -87,3 +87,49 @@
 		})
 	}
 }
+
+// An engine's word that a statement never ran comes a second time, behind the next start on the same connection. It is not believed of that
+// statement, which runs: else it would be sent elsewhere and run twice.
+func TestALateSecondNeverRanIsNobodyElses(t *testing.T) {
+	const never = "HTTP/1.1 503 Service Unavailable\r\nX-Unrun: 1\r\nContent-Length: 0\r\n\r\n"
+	const result = "HTTP/1.1 200 OK\r\nX-Batches: 1\r\nContent-Length: 4\r\n\r\none\n"
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go func() {
+		for first := true; ; first = false {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for r, n := bufio.NewReader(c), 0; ; n++ {
+					call, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, call.Body)
+					if first {
+						io.WriteString(c, never)
+					}
+					if !first || n > 0 {
+						io.WriteString(c, result)
+					}
+				}
+			}()
+		}
+	}()
+	ended := make(ends, 2)
+	b := New(t.Context(), ended, 4, time.Minute, patience, zap.NewNop())
+	b.Know("e", listener.Addr().String(), true)
+	b.Execute(Order{Statement: "A", Engine: "e", Text: []byte("select"), Until: time.Now().Add(time.Minute)})
+	assert.Equal(t, decision.Full, await(t, ended).Outcome)
+	require.Eventually(t, func() bool { // a connection that was given back has rested
+		b.pool.mu.Lock()
+		defer b.pool.mu.Unlock()
+		return len(b.pool.idle["e"]) == 0 || time.Since(b.pool.idle["e"][0].idle) > 2*restTime
+	}, patience, time.Millisecond)
+	b.Execute(Order{Statement: "B", Engine: "e", Text: []byte("update"), Until: time.Now().Add(time.Minute)})
+	assert.Equal(t, decision.Completed, await(t, ended).Outcome)
+}
--- a/internal/back/outcome.go
+++ b/internal/back/outcome.go
@@ -50,11 +50,14 @@
 	return decision.Errored, true // 500, and all that the protocol does not know: it may have run
 }
 
+// neverRan tells whether an answer says that nothing ran.
+func neverRan(head http1.Head) bool { return head.Get(fieldNeverRan) == "1" }
+
 // read reads an answer; odd or absent fields are passed over, but for the number of pages.
 func read(head http1.Head) reading {
 	var r reading
 	r.report = parseReport(head.Get(fieldReport))
-	r.outcome, r.over = outcomeOf(head.Status, head.Get(fieldNeverRan) == "1")
+	r.outcome, r.over = outcomeOf(head.Status, neverRan(head))
 	if r.over && r.outcome == decision.Completed {
 		n, err := strconv.Atoi(head.Get(fieldPages))
 		if err != nil || n < 1 || n > mostPages {
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,6 +26,8 @@
 	engine  decision.EngineID
 	address string
 	idle    time.Time // since when it lies in the pool
+
+	starting atomic.Bool // a start was written, or is about to be, and has no answer
 }
 
 // do writes one call and reads its answer. whole tells whether the call may have come whole to the engine.
@@ -37,6 +40,13 @@
 	return head, body, true, err
 }
 
+// willReset has the connection be reset when it is closed.
+func (c *conn) willReset() {
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+}
+
 // state is what lies on a connection between two calls.
 type state int
 
@@ -357,6 +367,13 @@
 	}
 }
 
+// abort closes a connection with a call that was not answered. It is reset, so that the kernel does not go on delivering the call: one that
+// is held up by the network for seconds would otherwise start or prolong an execution that counts as over.
+func (p *pool) abort(c *conn) {
+	c.willReset()
+	p.drop(c)
+}
+
 // drop closes a connection: the one place where its descriptor is given back.
 func (p *pool) drop(c *conn) {
 	c.raw.Close()
@@ -388,6 +405,9 @@
 			p.mu.Lock()
 			p.closed = true
 			for c := range p.made { // a call that waits for an engine that hangs would hold up the end of the program
+				if c.starting.Load() {
+					c.willReset()
+				}
 				c.raw.Close()
 			}
 			p.mu.Unlock()
--- a/internal/lab/link.go
+++ b/internal/lab/link.go
@@ -39,6 +39,7 @@
 	dialled  int
 	closed   bool
 	held     atomic.Int64
+	resets   atomic.Int64
 }
 
 // NewLink starts one to a target. Close ends it.
@@ -66,6 +67,9 @@
 // Held is how many pieces have been read and neither passed nor dropped.
 func (l *Link) Held() int { return int(l.held.Load()) }
 
+// Resets is how often a sender has reset a connection.
+func (l *Link) Resets() int { return int(l.resets.Load()) }
+
 // Set has both directions behave so from now on.
 func (l *Link) Set(there, back Way) {
 	l.mu.Lock()
@@ -198,6 +202,7 @@
 			}
 			if errors.Is(err, syscall.ECONNRESET) {
 				broken.Store(true)
+				l.resets.Add(1)
 			}
 			if err != nil {
 				return
