A guard checks each send, repeat, answer, end and close at run time and counts violations

What would break a rule is not done: an execution is not sent and its statement aborted, a rejection becomes an abort, an end waits for a proof. Violations are counted by rule in the figures (rules_violated) and logged with their stack.

It does not share the decision module's code or the time by which executions count as over.

--- a/cmd/bankledge/main_test.go
+++ b/cmd/bankledge/main_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"bankledge/internal/guard"
 	"bankledge/internal/standin"
 )
 
@@ -171,6 +172,7 @@
 		}
 		assert.NotContains(t, r.log.String(), "DATA RACE")
 		assert.NotContains(t, r.log.String(), "panic")
+		assert.NotContains(t, r.log.String(), guard.Message)
 		if t.Failed() {
 			t.Log(r.log.String())
 		}
--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"bankledge/decision"
+	"bankledge/internal/guard"
 )
 
 const (
@@ -44,13 +45,15 @@
 	origin   time.Time       // of its clock, with a monotonic reading
 	running  sync.WaitGroup
 
+	Violations *guard.Violations // counts ends without a proof
+
 	Hear func() // called before an execution begins: waits for what was told of engines and is not known here yet; nil: nobody has to
 }
 
 // New returns a back that uses at most so many descriptors. All that it starts ends with ctx.
 func New(ctx context.Context, listener Listener, descriptors int, idleClose, connectIn time.Duration,
 	log *zap.Logger) *Back {
-	return &Back{listener: listener, log: log, ctx: ctx, origin: time.Now(),
+	return &Back{listener: listener, log: log, ctx: ctx, origin: time.Now(), Violations: guard.NewViolations(log),
 		pool: newPool(descriptors, time.Duration(idleShare*float64(idleClose)), connectIn)}
 }
 
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"bankledge/decision"
+	"bankledge/internal/guard"
 )
 
 // Execution is one statement on one engine: started once, then polled until its end, then its pages. It
@@ -26,6 +27,7 @@
 	ctx     context.Context // ends when it is revoked or given up
 	cancel  context.CancelFunc
 	stage   atomic.Int32 // waiting, then started or revoked
+	written atomic.Bool  // its start has been handed to the kernel whole
 	asked   instant      // when the engine was last asked for it, at the latest
 	ended   sync.Once
 	heard   chan struct{} // closed once the start has come to the engine or never will: nothing of it is on its way
@@ -96,6 +98,10 @@
 // end tells the listener how the execution ended, once.
 func (x *Execution) end(end ending) {
 	x.ended.Do(func() {
+		if v := x.unproven(end.proof); v != nil {
+			x.back.Violations.Count(v)
+			end.proof = x.callOff()
+		}
 		x.logEnd(end)
 		x.back.pool.letGo(x.Engine)
 		x.back.listener.Ended(decision.ExecutionEnded{Statement: x.Statement, Execution: x.Order.Execution,
@@ -103,6 +109,22 @@
 	})
 }
 
+// unproven tells why a proof does not hold, whoever came to it; nil: it does.
+func (x *Execution) unproven(proof Proof) *guard.Violation {
+	why := ""
+	switch {
+	case proof == ProofNotSent && x.written.Load():
+		why = "its start was written"
+	case proof == ProofUnasked && x.unaskedFor() < forgets:
+		why = "its engine was asked for it " + x.unaskedFor().String() + " ago"
+	case proof == ProofNone && x.back.ctx.Err() == nil:
+		why = "the router does not end"
+	default:
+		return nil
+	}
+	return &guard.Violation{Rule: guard.ProvenEnd, Statement: x.Statement, Detail: "execution " + strconv.Itoa(int(x.Order.Execution)) + ": " + why}
+}
+
 // logEnd says how the execution ended and by what proof. One that no word of the engine proves is rare, and logged also where the
 // usual ones are not.
 func (x *Execution) logEnd(end ending) {
@@ -190,6 +212,7 @@
 	if !whole {
 		return said, err, false
 	}
+	x.written.Store(true)
 	if !isTimeout(err) { // answered; or what was not read before the connection broke never will be
 		close(x.heard)
 	}
--- a/internal/back/proof_test.go
+++ b/internal/back/proof_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"bankledge/decision"
+	"bankledge/internal/guard"
 )
 
 // lingering is an engine that goes on running what it has, whatever becomes of its listener and its connections.
@@ -221,3 +222,39 @@
 		})
 	}
 }
+
+// An end whose proof does not hold is counted and not told before there is one that does, whoever came to it.
+func TestAnEndWithoutAProofIsNotTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		proof     Proof
+		counts    int64
+		calledOff bool // first
+	}{
+		"it is said to be dropped, and was asked for just now": {ProofUnasked, 1, true},
+		"it is said not to be sent, and was":                   {ProofNotSent, 1, true},
+		"the router is said to end, and does not":              {ProofNone, 1, true},
+		"the engine has told its end":                          {ProofEngineSaid, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := linger(t, held)
+			ended := make(ends, 1)
+			b := New(t.Context(), ended, 4, time.Minute, time.Second, zap.NewNop())
+			b.Know("e", e.listener.Addr().String(), true)
+			x := &Execution{back: b, Order: Order{Statement: "1", Engine: "e"}, path: "/x/1", address: b.pool.of("e"), ctx: t.Context(),
+				heard: make(chan struct{}), over: make(chan struct{})}
+			close(x.heard)
+			x.written.Store(true)
+			x.asked.set(b.origin, time.Now())
+			b.pool.hold("e")
+			x.end(ending{outcome: decision.Cancelled, proof: c.proof})
+			assert.Equal(t, decision.Cancelled, await(t, ended).Outcome)
+			assert.Equal(t, c.counts, b.Violations.Of(guard.ProvenEnd))
+			select {
+			case <-e.told:
+				assert.True(t, c.calledOff)
+			default:
+				assert.False(t, c.calledOff, "the engine was not told to give it up")
+			}
+		})
+	}
+}
--- a/internal/front/closing.go
+++ b/internal/front/closing.go
@@ -2,11 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"time"
 
 	"go.uber.org/zap"
+
+	"bankledge/internal/guard"
 )
 
 // closeReason says why a client's connection ended. It is for logs.
@@ -47,6 +50,9 @@
 	if noted := c.why.Load(); noted != nil {
 		why = *noted
 	}
+	if len(left) > 0 && (why == closedForRoom || why == closedIdle) {
+		c.front.Violations.Count(&guard.Violation{Rule: guard.NoLostRequest, Detail: fmt.Sprintf("%s with streams %v open: %s", c.raw.RemoteAddr(), left, why)})
+	}
 	c.front.log.Debug("client connection ended", zap.Stringer("client", c.raw.RemoteAddr()), zap.String("why", string(why)),
 		zap.Uint32s("open", left), zap.Duration("after", time.Since(c.since)))
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,6 +19,7 @@
 
 	"bankledge/internal/account"
 	"bankledge/internal/buffer"
+	"bankledge/internal/guard"
 )
 
 const (
@@ -62,6 +63,8 @@
 
 // Front owns the clients' connections.
 type Front struct {
+	Violations *guard.Violations // counts second answers and requests that are lost by a close
+
 	taker Taker
 	log   *zap.Logger
 	slots chan struct{} // one for each connection that may be held
@@ -88,7 +91,7 @@
 // New returns a front that holds at most so many connections, and so many bytes of large frames that have
 // not come whole.
 func New(taker Taker, most int, room int64, limits account.Limits, log *zap.Logger) *Front {
-	f := &Front{taker: taker, log: log, start: time.Now(), book: account.NewBook(limits), slots: make(chan struct{}, most), conns: map[*Conn]struct{}{}}
+	f := &Front{Violations: guard.NewViolations(log), taker: taker, log: log, start: time.Now(), book: account.NewBook(limits), slots: make(chan struct{}, most), conns: map[*Conn]struct{}{}}
 	f.room.Store(room)
 	f.peeks.New = func() any { return new([gonePeek]byte) }
 	return f
@@ -835,10 +838,13 @@
 // queue hands bytes to the writer. An answer for which there is no room, since the client does not take in what it has
 // been given, becomes a short one; a client that reads nothing loses its connection before its queue grows.
 func (c *Conn) queue(bytes []byte, stream uint32) (stalled bool) {
+	second := false
 	c.mu.Lock()
 	gone, open := c.open[stream]
 	switch {
-	case c.ended || stream != 0 && !open:
+	case c.ended:
+	case stream != 0 && !open:
+		second = true
 	case stream != 0 && gone:
 		delete(c.open, stream)
 		c.idle = time.Now()
@@ -874,6 +880,9 @@
 	}
 	c.mu.Unlock()
 	c.notify()
+	if second {
+		c.front.Violations.Count(&guard.Violation{Rule: guard.OneAnswer, Detail: fmt.Sprintf("stream %d of %s is not open", stream, c.raw.RemoteAddr())})
+	}
 	if stalled {
 		c.front.count(func(s *Slow) { s.Stalled++ })
 	}
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -9,6 +9,7 @@
 
 	"bankledge/decision"
 	"bankledge/internal/front"
+	"bankledge/internal/guard"
 	"bankledge/internal/sqltext"
 )
 
@@ -76,7 +77,8 @@
 		TimeBudget: budget, Estimate: time.Duration(work * float64(time.Millisecond)), NeedMB: mem,
 		Tables: decision.TableGroup(built.Group()), Resent: f[fieldResent] == "1",
 		Write: g.cfg.Opening.Workloads[workload].Load}
-	return &statement{id: arrived.Statement, client: c, workload: f[fieldWorkload], text: append([]byte(nil), text...),
+	return &statement{id: arrived.Statement, rules: guard.NewRequest(arrived.Statement, &g.enforced[workload], g.cfg.Opening.Limits), client: c, workload: f[fieldWorkload],
+		text:  append([]byte(nil), text...),
 		built: &built, taken: taken, ends: taken.Add(budget)}, arrived, ""
 }
 
--- a/internal/gateway/book.go
+++ b/internal/gateway/book.go
@@ -11,6 +11,7 @@
 	"bankledge/internal/back"
 	"bankledge/internal/classify"
 	"bankledge/internal/front"
+	"bankledge/internal/guard"
 	"bankledge/internal/sqltext"
 )
 
@@ -32,9 +33,10 @@
 	client   client
 	stream   uint32
 	taken    time.Time
-	ends     time.Time // the client gives up
-	over     bool      // answered, or nobody waits
-	out      int       // executions without an end
+	ends     time.Time      // the client gives up
+	rules    *guard.Request // what the rules need to know of it
+	over     bool           // answered, or nobody waits
+	out      int            // executions without an end
 	execs    []*back.Execution
 	outcomes []decision.Outcome // of those that have ended, in the order in which they did
 	built    *sqltext.Statement // how its text is built, until the route has looked at it
@@ -60,6 +62,7 @@
 func (r *route) executionEnded(s *statement, ev decision.ExecutionEnded) {
 	s.out--
 	s.outcomes = append(s.outcomes, ev.Outcome)
+	s.rules.Ended(ev.Execution, neverRan(ev.Outcome))
 	r.learn(s, ev)
 	r.gateway.figures.ended(ev.Outcome)
 	r.gateway.log.Debug("execution ended", zap.String("statement", string(s.id)), zap.Int("execution", int(ev.Execution)),
@@ -70,6 +73,11 @@
 	}
 }
 
+// neverRan tells outcomes after which it is known that the execution did not run.
+func neverRan(o decision.Outcome) bool {
+	return o == decision.Full || o == decision.NotConnected || o == decision.NeverSent
+}
+
 // giveBack drops a record: the statement is over and none of its executions is out.
 func (r *route) giveBack(s *statement) {
 	if r.open[s.id] == s {
@@ -157,7 +165,7 @@
 			zap.Int64("completed", f.completed.Load()), zap.Int64("rejected", f.rejected.Load()),
 			zap.Int64("aborted", f.aborted.Load()), zap.Int64("left", f.left.Load()), zap.Int64("unfit", f.unfit.Load()),
 			zap.Int64("executions", f.executions.Load()), zap.Int64s("outcomes", outcomes), zap.Int64("probes", f.probes.Load()),
-			zap.Int64("wall_clock_steps", g.wallClock.steps.Load()), zap.Int64("evicted_clients", g.front.Evicted()), zap.Int("engine_connections", g.back.Descriptors()), zap.Any("dials", g.back.Dials()), zap.Int64("text_bytes", texts), zap.Int64("answer_bytes", out), zap.Any("slow_clients", slow),
+			zap.Int64("rules_violated", g.violations.Total()), zap.Int64("wall_clock_steps", g.wallClock.steps.Load()), zap.Int64("evicted_clients", g.front.Evicted()), zap.Int("engine_connections", g.back.Descriptors()), zap.Any("dials", g.back.Dials()), zap.Int64("text_bytes", texts), zap.Int64("answer_bytes", out), zap.Any("slow_clients", slow),
 			zap.Duration("delay_mean", time.Duration(f.delaySum.Swap(0)/n)),
 			zap.Duration("delay_most", time.Duration(f.delayMost.Swap(0))))
 		g.reportLooks()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,7 @@
 	"bankledge/internal/classify"
 	"bankledge/internal/feed"
 	"bankledge/internal/front"
+	"bankledge/internal/guard"
 	"bankledge/internal/settings"
 	"bankledge/internal/sqltext"
 	"bankledge/policy"
@@ -74,6 +76,8 @@
 	reached    atomic.Bool // engines were seen to be in reach
 	stopping   atomic.Bool // SIGTERM has come
 	figures    figures
+	violations *guard.Violations
+	enforced   []decision.Workload // what the guard holds statements to; the route goroutine changes it
 	pulse      pulse
 	wallClock  wallClock
 	readers    sync.Pool // of analysers of texts
@@ -89,6 +93,7 @@
 	o.Limits.SendLag = o.Sockets.ConnectTimeout + wakeTime
 	g := &Gateway{cfg: cfg, log: log, engines: engines, serving: make(chan net.Addr, 1), origin: time.Now().Add(-clockBefore),
 		workloads: map[string]decision.WorkloadID{}, groups: map[decision.MemberGroup]bool{}}
+	g.violations = guard.NewViolations(log)
 	g.readers.New = func() any { return new(sqltext.Analyser) }
 	for _, machine := range o.Engines.Machines {
 		g.mostMemory = max(g.mostMemory, machine.MemoryMB)
@@ -102,7 +107,9 @@
 	}
 	g.front = front.New(g, cfg.Limits.Sockets/clientShare, cfg.Limits.MemoryMB<<20/frameShare,
 		account.Derive(cfg.Limits.MemoryMB, cfg.Limits.Sockets/clientShare), log)
-	g.route = &route{gateway: g, inbox: make(chan input, inboxSize), done: make(chan struct{}), open: map[decision.StatementID]*statement{},
+	g.front.Violations = g.violations
+	g.enforced = slices.Clone(o.Workloads)
+	g.route = &route{gateway: g, places: map[decision.EngineID]guard.Place{}, inbox: make(chan input, inboxSize), done: make(chan struct{}), open: map[decision.StatementID]*statement{},
 		from: map[client]map[uint32]*statement{}, used: usedIDs{half: idsPerMB * int(cfg.Limits.MemoryMB) / 2},
 		looks: classify.New(o.Workloads, cfg.Limits.MemoryMB<<20/shapeShare), module: policy.New(o.Identity, o.Workloads, o.Engines, o.Shares, o.Limits, o.Rules, o.Reports)}
 	return g
@@ -119,6 +126,7 @@
 	sockets := g.cfg.Opening.Sockets
 	g.back = back.New(ctx, g, g.engines, sockets.IdleClose, sockets.ConnectTimeout, g.log)
 	g.back.Hear = g.hearList
+	g.back.Violations = g.violations
 	listener, err := net.Listen("tcp", g.cfg.Listen)
 	if err != nil {
 		return err
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,7 @@
 	"bankledge/decision"
 	"bankledge/internal/back"
 	"bankledge/internal/front"
+	"bankledge/internal/guard"
 	"bankledge/internal/settings"
 )
 
@@ -48,12 +49,16 @@
 func (*nobody) HoldText(int) bool { return true }
 func (*nobody) GiveText(int)      {}
 
+func newRules(id decision.StatementID) *guard.Request {
+	return guard.NewRequest(id, &decision.Workload{}, decision.Limits{})
+}
+
 // An execution that still waits for a connection is revoked before the client can know of the answer.
 func TestNothingIsSentAfterTheAnswer(t *testing.T) {
 	cfg := &settings.Config{Limits: settings.Machine{Cores: 1, MemoryMB: 64, Sockets: 128}, Opening: &settings.Opening{}}
 	g := New(cfg, zap.NewNop())
 	g.back = back.New(t.Context(), g, 0, time.Minute, time.Minute, g.log) // with no descriptor to be had
-	s := &statement{id: "x", ends: time.Now().Add(time.Minute)}
+	s := &statement{id: "x", rules: newRules("x"), ends: time.Now().Add(time.Minute)}
 	heard := false
 	s.client = &nobody{func() {
 		heard = true
@@ -71,7 +76,7 @@
 func TestModuleFails(t *testing.T) {
 	cfg := &settings.Config{Limits: settings.Machine{Cores: 1, MemoryMB: 64, Sockets: 128}, Opening: &settings.Opening{}}
 	g := New(cfg, zap.NewNop()) // a module without workloads
-	s := &statement{id: "x", client: &nobody{}, taken: time.Now(), ends: time.Now()}
+	s := &statement{id: "x", rules: newRules("x"), client: &nobody{}, taken: time.Now(), ends: time.Now()}
 	g.figures.open.Add(1)
 	g.route.handle([]input{{event: decision.StatementArrived{Statement: "x", Workload: 7}, stmt: s}})
 	require.Contains(t, g.route.open, s.id)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -30,6 +30,7 @@
 	reasonCompleted  decision.Reason = "an execution completed"
 	reasonIDInUse    decision.Reason = "the id is in use"
 	reasonReleased   decision.Reason = "the client takes its answers in too slowly"
+	reasonRule       decision.Reason = "a rule forbids what was decided"
 	reasonUnanswered decision.Reason = "the decisions left it without an answer"
 )
 
@@ -38,6 +39,16 @@
 	if s.over {
 		return
 	}
+	if code == rejected {
+		if v := s.rules.Reject(); v != nil {
+			r.gateway.violations.Count(v)
+			code, body, why = aborted, nil, reasonRule
+		}
+	}
+	if v := s.rules.Answer(); v != nil {
+		r.gateway.violations.Count(v)
+		return
+	}
 	if r.open[s.id] == s {
 		r.used.add(s.id)
 	}
@@ -52,6 +63,7 @@
 
 // endUnanswered ends a statement for which nobody waits any more.
 func (r *route) endUnanswered(s *statement) {
+	s.rules.Leave()
 	s.client.Release(s.stream)
 	r.gateway.log.Debug("client left", zap.String("statement", string(s.id)), zap.Int("executions", len(s.execs)), zap.Int("out", s.out))
 	r.gateway.figures.left.Add(1)
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -13,6 +13,7 @@
 	"bankledge/decision"
 	"bankledge/internal/agree"
 	"bankledge/internal/classify"
+	"bankledge/internal/guard"
 	"bankledge/policy"
 )
 
@@ -40,6 +41,7 @@
 	open    map[decision.StatementID]*statement // those not given back yet
 	from    map[client]map[uint32]*statement    // of these the ones that are not over, by where they came from
 	used    usedIDs
+	places  map[decision.EngineID]guard.Place // of the listed engines
 	timers  []decision.SetTimer
 	looked  time.Time        // by the backstop
 	also    []decision.Event // what answers led to, for the module's next call
@@ -121,6 +123,11 @@
 	if len(events) == 0 {
 		return
 	}
+	for _, ev := range events {
+		if changed, ok := ev.(decision.RulesChanged); ok {
+			r.enforce(changed)
+		}
+	}
 	for _, action := range r.decide(now, events) {
 		r.carryOut(action)
 	}
@@ -161,6 +168,7 @@
 	}
 	switch ev := in.event.(type) {
 	case decision.EngineList:
+		r.listPlaces(ev)
 		if r.steering != nil {
 			return r.steering.keep(now, ev, in.address)
 		}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,6 +7,7 @@
 
 	"bankledge/decision"
 	"bankledge/internal/back"
+	"bankledge/internal/guard"
 )
 
 // Send: the module's actions are carried out, in its order. None of them waits.
@@ -53,12 +54,14 @@
 		r.gateway.log.Error("an execution of a statement that is over", zap.String("statement", string(a.Statement)))
 		return
 	}
-	until := s.ends
-	if a.Timeout > 0 && r.gateway.origin.Add(r.gateway.now()+a.Timeout).Before(until) {
-		until = r.gateway.origin.Add(r.gateway.now() + a.Timeout)
+	now, until := r.gateway.now(), s.ends
+	broken := s.rules.Execute(r.place(a.Engine), now)
+	if a.Timeout > 0 && r.gateway.origin.Add(now+a.Timeout).Before(until) {
+		until = r.gateway.origin.Add(now + a.Timeout)
 	}
-	if r.steering != nil && r.steering.lapsed(r.gateway.now()) { // stopped since the look: it is never sent, and decided anew
-		until = time.Now().Add(-time.Second)
+	lapsed := r.steering != nil && r.steering.lapsed(now) // stopped since the look: decided anew
+	if lapsed || broken != nil {
+		until = time.Now().Add(-time.Second) // it is never sent
 	}
 	order := back.Order{Statement: s.id, Execution: decision.ExecutionID(len(s.execs)), Engine: a.Engine,
 		Workload: s.workload, Text: s.text, Until: until}
@@ -70,6 +73,33 @@
 	s.out++
 	r.gateway.figures.executions.Add(1)
 	s.execs = append(s.execs, r.gateway.back.Execute(order))
+	if broken != nil { // what the module would try next is not known to be better
+		r.gateway.violations.Count(broken)
+		r.answer(s, aborted, nil, reasonRule)
+		r.also = append(r.also, decision.ClientLeft{Statement: s.id})
+	}
+}
+
+// place is where an engine runs, as last listed.
+func (r *route) place(engine decision.EngineID) guard.Place {
+	if at, listed := r.places[engine]; listed {
+		return at
+	}
+	return guard.Place{Engine: engine}
+}
+
+// listPlaces keeps where the listed engines run.
+func (r *route) listPlaces(ev decision.EngineList) {
+	if ev.Kind == decision.ListComplete || ev.Kind == decision.ListPersisted {
+		clear(r.places)
+	}
+	for _, entry := range ev.Entries {
+		if entry.State == decision.Gone {
+			delete(r.places, entry.Engine)
+			continue
+		}
+		r.places[entry.Engine] = guard.Place{Engine: entry.Engine, Zone: entry.Zone, Kind: entry.Kind, Cell: entry.Cell}
+	}
 }
 
 // Noted hears a note of an execution, from its goroutine.
@@ -82,3 +112,10 @@
 
 // Probed hears the end of a probe, from its goroutine.
 func (g *Gateway) Probed(ev decision.ProbeEnded) { g.route.post(input{event: ev}) }
+
+// enforce has the guard hold statements to rules that take force now.
+func (r *route) enforce(changed decision.RulesChanged) {
+	for i, kinds := range changed.Kinds {
+		r.gateway.enforced[i].Kinds = kinds
+	}
+}
