A soak: many overlapping faults, of hosts and wall clocks too, drawn from seeds

Two auditors are new: nothing starts for a client that left; no router's own check finds a violation or a panic. Kinds of faults have named fields.

--- a/cmd/bankledge-lab/main.go
+++ b/cmd/bankledge-lab/main.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 
@@ -21,6 +22,7 @@
 
 type commands struct {
 	Run     run        `cmd:"" help:"Play schedules drawn from seeds, and audit each."`
+	Soak    soak       `cmd:"" help:"Play schedules of many overlapping faults, of hosts and clocks too, and audit each."`
 	Replay  replay     `cmd:"" help:"Play a schedule from a file, and audit it."`
 	Shrink  shrink     `cmd:"" help:"Cut a schedule that fails down to its least, and keep it as a file that replays."`
 	Compare compare    `cmd:"" help:"Play the same schedules with two or more builds of the router, in turn."`
@@ -129,6 +131,34 @@
 	return compareAll(&r.common, []string{r.Router}, r.schedules(), r.Table, r.Charts)
 }
 
+type soak struct {
+	common
+	From    uint64  `default:"1" help:"First seed."`
+	Count   uint64  `default:"10" help:"Number of schedules."`
+	Seconds float64 `default:"20" help:"Length of each."`
+}
+
+// Run plays soaks one after the other. What hangs on the machine's speed is not judged.
+func (s *soak) Run() error {
+	ctx, cancel := interrupted()
+	defer cancel()
+	program, drop, err := build(s.Router)
+	if err != nil {
+		return err
+	}
+	defer drop()
+	var outcomes []lab.Outcome
+	for seed := s.From; seed < s.From+s.Count; seed++ {
+		o, err := s.play(ctx, program, "soak", lab.DrawSoak(seed, s.Seconds))
+		if err != nil {
+			return err
+		}
+		o.Breaches = slices.DeleteFunc(o.Breaches, func(b lab.Breach) bool { return !lab.IsInvariant(b.Auditor) })
+		outcomes = append(outcomes, o)
+	}
+	return s.say(outcomes)
+}
+
 type compare struct {
 	common
 	seeds
--- a/internal/lab/audit.go
+++ b/internal/lab/audit.go
@@ -30,12 +30,18 @@
 	{"answers", "one final answer a statement, before its client's time is up", answers},
 	{"once", "nothing non-idempotent starts twice", once},
 	{"one at a time", "no statement runs on two engines at once", oneAtATime},
+	{"left", "nothing is sent for a client that has left", left},
+	{"guard", "no router's own check finds a rule broken or a panic", guards},
 	{"drains", "nothing new comes to an engine that a router was told drains or is gone", drains},
 	{"cold", "no cold engine is sent more than it bears by all routers", cold},
 	{"harm", "all routers' extra work keeps the fleet's bounds", harms},
 	{"back", "nine tenths of what was in time before come back within 5 s of the last fault", back},
 }
 
+// IsInvariant tells auditors of what must hold on any machine and under any faults. The others judge how well the fleet does, which hangs
+// on the machine's speed and on what the faults leave.
+func IsInvariant(auditor string) bool { return auditor != "harm" && auditor != "back" }
+
 // Audit has all auditors look.
 func Audit(h *History) (found []Breach) {
 	for _, a := range Auditors {
@@ -52,6 +58,7 @@
 	drainGrace = time.Second            // the rule's, as fleetSettings has it
 	drainSlack = 250 * time.Millisecond
 	afterTerm  = 700 * time.Millisecond // a statement that comes later to a router told to end is nobody's
+	leftSlack  = 350 * time.Millisecond // the rule's 100, and what all processes lose by sharing one machine
 	startUp    = 300 * time.Millisecond // statements on their way while a router goes down
 )
 
@@ -98,6 +105,8 @@
 			sent[e.Statement] = e
 		case Again:
 			found = append(found, Breach{At: e.At, Text: "a second answer for " + e.Statement})
+		case Left:
+			done[e.Statement] = true
 		case Answered, Broken:
 			s := sent[e.Statement]
 			done[e.Statement] = true
@@ -118,6 +127,33 @@
 	return found
 }
 
+// left: no execution starts for a client that has left, but for what is on its way.
+func left(h *History) (found []Breach) {
+	lapses, gone := down(h), map[string]Event{}
+	for _, e := range h.Events {
+		switch e.What {
+		case Left:
+			gone[e.Statement] = e
+		case Started:
+			l, ok := gone[e.Statement]
+			if ok && e.At > l.At+leftSlack && !excused(lapses[l.Router], l.At, e.At) {
+				found = append(found, Breach{At: e.At, Text: fmt.Sprintf("%s starts on %s %v after its client left", e.Statement, e.Engine, e.At-l.At)})
+			}
+		}
+	}
+	return found
+}
+
+// guards: no router's own check has found anything.
+func guards(h *History) (found []Breach) {
+	for _, e := range h.Events {
+		if e.What == Violated {
+			found = append(found, Breach{At: e.At, Text: fmt.Sprintf("router %d: %s", e.Router, e.Text)})
+		}
+	}
+	return found
+}
+
 // once: what must not run twice is started at most once by all routers.
 func once(h *History) (found []Breach) {
 	at := map[string]Event{}
--- a/internal/lab/field.go
+++ b/internal/lab/field.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -9,12 +10,14 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"bankledge/internal/front"
+	"bankledge/internal/hostfault"
 	"bankledge/internal/standin"
 	"bankledge/internal/version"
 )
@@ -69,6 +72,7 @@
 	members  []*member                   // of the control group
 	versions map[uint64]*version.Version // that it has written
 	born     int
+	library  string   // that gives routers a host whose faults can be chosen; nothing: the schedule has none
 	sources  sync.Map // address of a connection's near end, as an engine sees it: the router
 	tries    sync.WaitGroup
 }
@@ -155,6 +159,13 @@
 // start starts engines, feeds and routers, and waits until all routers are ready.
 func (f *field) start(ctx context.Context) error {
 	f.began = time.Now()
+	if f.s.needsHosts() {
+		library, err := hostfault.Build(f.dir)
+		if err != nil {
+			return err
+		}
+		f.library = library
+	}
 	for i := range f.s.Engines {
 		f.engines = append(f.engines, f.newEngine(i, standin.Coldness{}))
 	}
@@ -238,6 +249,7 @@
 // traffic sends statements at the times of a Poisson process, whatever became of those before; their clients wait on when it has ended.
 func (f *field) traffic(ctx, clients context.Context) error {
 	r := rand.New(rand.NewPCG(f.s.Seed, 2))
+	leaving := rand.New(rand.NewPCG(f.s.Seed, 3))
 	mean, weights := 0.0, make([]float64, len(workloads))
 	for i, w := range workloads {
 		mean, weights[i] = mean+w.share*w.mean, w.share
@@ -267,8 +279,12 @@
 			return ctx.Err()
 		case <-time.After(time.Until(f.began.Add(seconds(now)))):
 		}
+		leave := time.Duration(0)
+		if leaving.Float64() < f.s.Leavers {
+			leave = time.Duration(leaving.Int64N(int64(w.budget)))
+		}
 		f.tries.Add(1)
-		go f.ask(clients, fmt.Sprintf("%08x%07x", uint32(f.s.Seed), n), w, router, work, table, seconds(now))
+		go f.ask(clients, fmt.Sprintf("%08x%07x", uint32(f.s.Seed), n), w, router, work, table, seconds(now), leave)
 	}
 }
 
@@ -289,7 +305,8 @@
 func firstTry(id string) string { return id[:len(id)-1] + "0" }
 
 // ask is a client with one statement: it waits for the answer, and comes again with a new id when it is rejected.
-func (f *field) ask(ctx context.Context, id string, w *workload, router int, work float64, table int, due time.Duration) {
+// leave: after so long it waits no more and says so; 0: it does not.
+func (f *field) ask(ctx context.Context, id string, w *workload, router int, work float64, table int, due, leave time.Duration) {
 	defer f.tries.Done()
 	for try := 0; ; try++ {
 		id := fmt.Sprintf("%s%x", id, try)
@@ -303,9 +320,11 @@
 		if w.once {
 			verb = "update sales_%d.orders set total = 0 where cost = %s.%d"
 		}
-		a := f.routers[router].send(ctx, w.budget+tail, fields, fmt.Sprintf(verb, table, estimate, w.threads))
+		a := f.routers[router].send(ctx, w.budget+tail, leave, fields, fmt.Sprintf(verb, table, estimate, w.threads))
 		e := Event{What: Answered, Statement: id, Workload: w.name, Router: router, Code: byte(a.Code)}
-		if a.Err != nil {
+		if errors.Is(a.Err, errLeft) {
+			e.What = Left
+		} else if a.Err != nil {
 			e.What, e.Text = Broken, a.Err.Error()
 		}
 		f.note(e)
@@ -358,6 +377,9 @@
 	if faultKinds[x.Kind].members {
 		return f.beginGroup(ctx, x)
 	}
+	if _, ok := hostFaults[x.Kind]; ok {
+		return f.beginHostFault(x), nil
+	}
 	switch x.Kind {
 	case "reset":
 		f.links(x, (*Link).Reset)
@@ -373,6 +395,8 @@
 	case "kill", "term":
 		return func() error { return each(func(r *router) error { return r.start(ctx) }) },
 			each(func(r *router) error { return r.end(x.Kind == "kill") })
+	case "reload":
+		return nil, each(func(r *router) error { return r.signal(syscall.SIGHUP) })
 	case "stop":
 		return func() error { return each((*router).wake) }, each((*router).stop)
 	case "replace", "lose":
--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -37,6 +37,8 @@
 	Answered What = "answered" // and has its answer
 	Again    What = "again"    // a second answer came
 	Broken   What = "broken"   // its connection ended first
+	Left     What = "left"     // the client waits no more
+	Violated What = "violated" // a router's own checks have found something: text is its log's line
 	Started  What = "started"  // an execution at an engine
 	Ended    What = "ended"    // it had its work done
 	Called   What = "called"   // it was called off
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"time"
 
+	"bankledge/internal/guard"
+	"bankledge/internal/hostfault"
 	"bankledge/internal/standin"
 	"bankledge/internal/steer"
 )
@@ -26,7 +28,8 @@
 type router struct {
 	f        *field
 	n        int
-	door     *Link // from clients
+	host     *hostfault.Host // nil: the machine's own; it outlives the process, as a host does
+	door     *Link           // from clients
 	feed     *feed
 	feedLink *Link
 
@@ -42,6 +45,11 @@
 func (f *field) newRouter(n int) (*router, error) {
 	r := &router{f: f, n: n, links: map[string]*Link{}, open: map[*standin.Client]int{}}
 	var err error
+	if f.library != "" {
+		if r.host, err = hostfault.New(f.library, f.dir, fmt.Sprintf("router-%d", n)); err != nil {
+			return nil, err
+		}
+	}
 	if r.door, err = NewLink("127.0.0.1:1"); err != nil {
 		return nil, err
 	}
@@ -126,6 +134,9 @@
 		}
 		cmd.Env = append(cmd.Env, "LB_CONTROL="+control)
 	}
+	if r.host != nil {
+		cmd.Env = append(cmd.Env, r.host.Environment(true)...)
+	}
 	for k, v := range r.f.o.Env {
 		cmd.Env = append(cmd.Env, k+"="+v)
 	}
@@ -146,6 +157,7 @@
 		for lines := bufio.NewScanner(pipe); lines.Scan(); {
 			log.Write(append(lines.Bytes(), '\n'))
 			r.acts(lines.Bytes())
+			r.confesses(lines.Bytes())
 			var line struct{ Msg, Listen string }
 			if json.Unmarshal(lines.Bytes(), &line) == nil && line.Msg == "serving" {
 				address <- line.Listen
@@ -175,6 +187,13 @@
 	return nil
 }
 
+// confesses notes what the router's own checks have found: a rule that it would have broken, or a panic.
+func (r *router) confesses(line []byte) {
+	if bytes.Contains(line, []byte(guard.Message)) || bytes.Contains(line, []byte(`"panic"`)) || bytes.HasPrefix(line, []byte("panic:")) {
+		r.f.note(Event{What: Violated, Router: r.n, Text: string(line)})
+	}
+}
+
 // controlFile writes where the control group is: by links of this router's own.
 func (r *router) controlFile() (string, error) {
 	s := GroupSpans
@@ -239,12 +258,18 @@
 	for _, l := range r.links {
 		l.Close()
 	}
+	if r.host != nil {
+		r.host.Close()
+	}
 }
 
 const perClient = 24 // statements open on a connection
 
-// send sends a statement on a connection with room for it, and waits for its answer so long.
-func (r *router) send(ctx context.Context, within time.Duration, fields map[string]string, text string) standin.Answer {
+// errLeft: the client has said that it waits no more.
+var errLeft = errors.New("the client left")
+
+// send sends a statement on a connection with room for it, and waits for its answer so long, or until it leaves.
+func (r *router) send(ctx context.Context, within, leave time.Duration, fields map[string]string, text string) standin.Answer {
 	c, err := r.client()
 	if err != nil {
 		return standin.Answer{Err: err}
@@ -254,9 +279,17 @@
 		defer r.mu.Unlock()
 		r.open[c]--
 	}()
+	var leaves <-chan time.Time
+	if leave > 0 {
+		leaves = time.After(leave)
+	}
+	stream, answer := c.Open(fields, text)
 	select {
-	case a := <-c.Send(fields, text):
+	case a := <-answer:
 		return a
+	case <-leaves:
+		c.Leave(stream)
+		return standin.Answer{Err: errLeft}
 	case <-time.After(within):
 		return standin.Answer{Err: errors.New("no answer")}
 	case <-ctx.Done():
--- a/internal/lab/schedule.go
+++ b/internal/lab/schedule.go
@@ -1,8 +1,10 @@
 package lab
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -23,6 +25,7 @@
 	Tries   int     `json:"tries"` // further ones of a client whose statement was rejected
 	Says    int     `json:"says"`  // routers, as the settings have it; 0: as many as there are
 	Busiest float64 `json:"busiest"`
+	Leavers float64 `json:"leavers"` // share of the clients that stop waiting before their time
 	Control int     `json:"control"` // processes of a control group, 0: there is none
 	Every   float64 `json:"every"`   // seconds between two versions that are proposed
 	Faults  []Fault `json:"faults"`
@@ -39,39 +42,50 @@
 	Amount  float64 `json:"amount,omitempty"`
 }
 
-// fault kinds: what each takes beside its time.
-var faultKinds = map[string]struct {
-	routers, engines bool // must be named
-	members          bool
-	amount           bool
-	span             bool
-	what             string
-}{
-	"cut":             {true, true, false, false, true, "links of routers to engines pass nothing, both ways"},
-	"cut-there":       {true, true, false, false, true, "the same from routers to engines only"},
-	"cut-back":        {true, true, false, false, true, "the same from engines to routers only"},
-	"delay":           {true, true, false, true, true, "answers of engines to routers come so many seconds late"},
-	"slow":            {true, true, false, false, true, "answers of engines come a byte a tick"},
-	"reset":           {true, true, false, false, false, "all connections of routers to engines are reset"},
-	"deaf":            {false, true, false, false, true, "engines refuse new connections and run on"},
-	"feed":            {true, false, false, false, true, "the control feed passes nothing"},
-	"kill":            {true, false, false, false, true, "routers are killed, and started again after the time"},
-	"stop":            {true, false, false, false, true, "routers are stopped, and woken after the time"},
-	"term":            {true, false, false, false, true, "routers end by SIGTERM, and are started again after the time"},
-	"replace":         {false, true, false, false, true, "engines drain, leave after the time, and new cold ones take their place"},
-	"lose":            {false, true, false, false, true, "engines die, and come back cold under new ids after the time"},
-	"crawl":           {false, true, false, true, true, "engines take so many times as long"},
-	"err":             {false, true, false, false, true, "engines end all with an error"},
-	"group-cut":       {true, false, true, false, true, "links of routers to processes of the control group pass nothing, both ways"},
-	"group-cut-there": {true, false, true, false, true, "the same from routers to the group only"},
-	"group-cut-back":  {true, false, true, false, true, "the same from the group to routers only"},
-	"group-delay":     {true, false, true, true, true, "what the group says to routers comes so many seconds late"},
-	"group-reset":     {true, false, true, false, false, "all connections of routers to the group are reset"},
-	"apart":           {false, false, true, false, true, "processes of the group are cut off from the others"},
-	"member-kill":     {false, false, true, false, true, "processes of the group are killed, and started again after the time"},
-	"member-stop":     {false, false, true, false, true, "processes of the group are stopped, and woken after the time"},
-	"member-lose":     {false, false, true, false, false, "processes of the group are killed, and never come back"},
-	"rush":            {false, false, false, true, true, "so many times the traffic"},
+// faultKind says what a fault takes beside its time.
+type faultKind struct {
+	routers, engines, members bool // have to be named
+	amount                    bool // has to be named
+	signed                    bool // the amount may be negative
+	most                      float64
+	span                      bool
+	what                      string
+}
+
+// mostAmount is the largest amount of a fault whose kind names none.
+const mostAmount = 100
+
+var faultKinds = map[string]faultKind{
+	"cut":             {routers: true, engines: true, span: true, what: "links of routers to engines pass nothing, both ways"},
+	"cut-there":       {routers: true, engines: true, span: true, what: "the same from routers to engines only"},
+	"cut-back":        {routers: true, engines: true, span: true, what: "the same from engines to routers only"},
+	"delay":           {routers: true, engines: true, amount: true, span: true, what: "answers of engines to routers come so many seconds late"},
+	"slow":            {routers: true, engines: true, span: true, what: "answers of engines come a byte a tick"},
+	"reset":           {routers: true, engines: true, what: "all connections of routers to engines are reset"},
+	"deaf":            {engines: true, span: true, what: "engines refuse new connections and run on"},
+	"feed":            {routers: true, span: true, what: "the control feed passes nothing"},
+	"kill":            {routers: true, span: true, what: "routers are killed, and started again after the time"},
+	"stop":            {routers: true, span: true, what: "routers are stopped, and woken after the time"},
+	"term":            {routers: true, span: true, what: "routers end by SIGTERM, and are started again after the time"},
+	"replace":         {engines: true, span: true, what: "engines drain, leave after the time, and new cold ones take their place"},
+	"lose":            {engines: true, span: true, what: "engines die, and come back cold under new ids after the time"},
+	"crawl":           {engines: true, amount: true, span: true, what: "engines take so many times as long"},
+	"err":             {engines: true, span: true, what: "engines end all with an error"},
+	"group-cut":       {routers: true, members: true, span: true, what: "links of routers to processes of the control group pass nothing, both ways"},
+	"group-cut-there": {routers: true, members: true, span: true, what: "the same from routers to the group only"},
+	"group-cut-back":  {routers: true, members: true, span: true, what: "the same from the group to routers only"},
+	"group-delay":     {routers: true, members: true, amount: true, span: true, what: "what the group says to routers comes so many seconds late"},
+	"group-reset":     {routers: true, members: true, what: "all connections of routers to the group are reset"},
+	"apart":           {members: true, span: true, what: "processes of the group are cut off from the others"},
+	"member-kill":     {members: true, span: true, what: "processes of the group are killed, and started again after the time"},
+	"member-stop":     {members: true, span: true, what: "processes of the group are stopped, and woken after the time"},
+	"member-lose":     {members: true, what: "processes of the group are killed, and never come back"},
+	"rush":            {amount: true, span: true, what: "so many times the traffic"},
+	"clock":           {routers: true, amount: true, signed: true, most: 7200, what: "the wall clock of routers' hosts steps by so many seconds, and back after the time, if there is one"},
+	"accept-fails":    {routers: true, amount: true, span: true, what: "one in so many of routers' calls to accept fails: ECONNABORTED, EMFILE, ENFILE or ENOBUFS"},
+	"connect-fails":   {routers: true, amount: true, span: true, what: "one in so many of routers' calls to connect fails: EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH or ETIMEDOUT"},
+	"socket-fails":    {routers: true, amount: true, span: true, what: "one in so many of routers' calls to socket fails: EMFILE, ENFILE or ENOBUFS"},
+	"reload":          {routers: true, what: "routers read their configuration again (SIGHUP)"},
 }
 
 // Kinds lists the kinds of faults and what they do.
@@ -92,7 +106,7 @@
 		value      float64
 		least, top float64
 	}{{"routers", float64(s.Routers), 1, mostProcesses}, {"engines", float64(s.Engines), 1, mostProcesses}, {"seconds", s.Seconds, 1, mostSeconds},
-		{"load", s.Load, 0.01, 10}, {"tries", float64(s.Tries), 0, 10}, {"says", float64(s.Says), 0, 1e6}, {"control", float64(s.Control), 0, 7}, {"every", s.Every, 0, mostSeconds}, {"busiest", s.Busiest, 0, 100}} {
+		{"load", s.Load, 0.01, 10}, {"tries", float64(s.Tries), 0, 10}, {"says", float64(s.Says), 0, 1e6}, {"control", float64(s.Control), 0, 7}, {"every", s.Every, 0, mostSeconds}, {"busiest", s.Busiest, 0, 100}, {"leavers", s.Leavers, 0, 1}} {
 		if !(f.value >= f.least && f.value <= f.top) {
 			return fmt.Errorf("%s: %v is not from %v to %v", f.name, f.value, f.least, f.top)
 		}
@@ -109,8 +123,10 @@
 			return fmt.Errorf("%s.for: %v is no time", at, f.For)
 		case k.span && f.For == 0:
 			return fmt.Errorf("%s.for: missing", at)
-		case k.amount && !(f.Amount > 0 && f.Amount <= 100):
-			return fmt.Errorf("%s.amount: %v is not above 0 and up to 100", at, f.Amount)
+		case k.amount && (f.Amount == 0 || f.Amount < 0 && !k.signed):
+			return fmt.Errorf("%s.amount: %v is not above 0", at, f.Amount)
+		case k.amount && !(math.Abs(f.Amount) <= cmp.Or(k.most, mostAmount)):
+			return fmt.Errorf("%s.amount: %v is over %v", at, f.Amount, cmp.Or(k.most, mostAmount))
 		case k.routers && len(f.Routers) == 0:
 			return fmt.Errorf("%s.routers: none", at)
 		case k.members && len(f.Members) == 0:
--- a/internal/lab/schedule_test.go
+++ b/internal/lab/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -22,6 +23,11 @@
 		`{routers: 3, engines: 2, seconds: 5, load: 1, faults: [{kind: "kill", at: 1, "for": 1, routers: [3]}]}`:                              "faults[0].routers: one is not from 0 to 2",
 		`{routers: 3, engines: 2, seconds: 5, load: 1, faults: [{kind: "lose", at: 1, "for": 1, engines: [-1]}]}`:                             "faults[0].engines: one is not",
 		`{routers: 3, engines: 2, seconds: 5, load: 1, faults: [{kind: "crawl", at: 1, "for": 1, engines: [0]}]}`:                             "faults[0].amount",
+		`{routers: 3, engines: 2, seconds: 5, load: 1, faults: [{kind: "clock", at: 1, routers: [0]}]}`:                                       "faults[0].amount: 0",
+		`{routers: 3, engines: 2, seconds: 5, load: 1, faults: [{kind: "clock", at: 1, routers: [0], amount: -7201}]}`:                        "faults[0].amount: -7201 is over 7200",
+		`{routers: 3, engines: 2, seconds: 5, load: 1, faults: [{kind: "clock", at: 1, routers: [0], amount: -3600}]}`:                        "",
+		`{routers: 3, engines: 2, seconds: 5, load: 1, faults: [{kind: "accept-fails", at: 1, "for": 1, routers: [0], amount: -1}]}`:          "faults[0].amount: -1 is not above 0",
+		`{routers: 3, engines: 2, seconds: 5, load: 1, leavers: 2}`:                                                                           "leavers",
 		`{routers: 3, engines: 2, seconds: 5, load: 1, faults: [{kind: "cut", at: 1, routers: [0], engines: [0]}]}`:                           "faults[0].for: missing",
 		`{routers: 3, engines: 2, seconds: 5, load: 1, faults: [{kind: "cut", at: 1, "for": 1, routers: [i for i in [0, 1]], engines: [0]}]}`: "",
 	} {
@@ -48,7 +54,10 @@
 		g := DrawGroup(seed, 12)
 		require.NoError(t, g.Check())
 		require.Equal(t, g, DrawGroup(seed, 12))
-		for _, f := range append(s.Faults, g.Faults...) {
+		soak := DrawSoak(seed, 12)
+		require.NoError(t, soak.Check())
+		require.Equal(t, soak, DrawSoak(seed, 12))
+		for _, f := range slices.Concat(s.Faults, g.Faults, soak.Faults) {
 			seen[f.Kind] = true
 		}
 	}
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -60,6 +60,7 @@
 	mu     sync.Mutex
 	stream uint32
 	open   map[uint32]*sent
+	left   map[uint32]bool // streams that nobody waits for: an answer may still be on its way
 	err    error
 	going  bool // the router has said that it ends
 	ended  chan struct{}
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{conn: conn, open: map[uint32]*sent{}, ended: make(chan struct{})}
+	c := &Client{conn: conn, open: map[uint32]*sent{}, left: map[uint32]bool{}, ended: make(chan struct{})}
 	go c.read()
 	return c, nil
 }
@@ -108,11 +109,13 @@
 			c.mu.Unlock()
 			return
 		}
-		c.going = c.going || kind == 3
-		if s := c.open[stream]; s != nil && (kind == 8 || kind == 2) {
+		c.going = c.going || kind == typeNoMore
+		if s := c.open[stream]; s != nil && (kind == typeAnswer || kind == typeReadyTold) {
 			delete(c.open, stream)
 			s.answer <- Answer{Code: front.Code(code), Body: body, Took: time.Since(s.at)}
-		} else if kind == 8 && stream > 0 && c.Again != nil {
+		} else if kind == typeAnswer && c.left[stream] {
+			delete(c.left, stream)
+		} else if kind == typeAnswer && stream > 0 && c.Again != nil {
 			c.Again(stream)
 		}
 		c.mu.Unlock()
@@ -121,16 +124,43 @@
 
 // Send sends a statement; its answer comes through the channel.
 func (c *Client) Send(fields map[string]string, text string) <-chan Answer {
-	return c.ask(7, Payload(fields, text))
+	_, answer := c.Open(fields, text)
+	return answer
 }
 
-func (c *Client) ask(kind byte, payload string) <-chan Answer {
+// Open sends a statement, and tells its stream beside.
+func (c *Client) Open(fields map[string]string, text string) (stream uint32, answer <-chan Answer) {
+	return c.ask(typeStatement, Payload(fields, text))
+}
+
+// Leave says that nobody waits for a stream any more. No answer comes through its channel.
+func (c *Client) Leave(stream uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, open := c.open[stream]; open {
+		delete(c.open, stream)
+		c.left[stream] = true
+		c.conn.Write(Frame(typeLeft, stream, "")) // one that is broken tells the router as much
+	}
+}
+
+// The kinds of frames.
+const (
+	typeReady     = 1
+	typeReadyTold = 2
+	typeNoMore    = 3
+	typeStatement = 7
+	typeAnswer    = 8
+	typeLeft      = 9
+)
+
+func (c *Client) ask(kind byte, payload string) (stream uint32, answer <-chan Answer) {
 	s := &sent{at: time.Now(), answer: make(chan Answer, 1)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil {
 		s.answer <- Answer{Err: c.err}
-		return s.answer
+		return 0, s.answer
 	}
 	c.stream++
 	c.open[c.stream] = s
@@ -138,13 +168,14 @@
 		delete(c.open, c.stream)
 		s.answer <- Answer{Err: err}
 	}
-	return s.answer
+	return c.stream, s.answer
 }
 
 // AwaitReady asks the router until it is ready.
 func (c *Client) AwaitReady(patience time.Duration) error {
 	for began := time.Now(); time.Since(began) < patience; time.Sleep(5 * time.Millisecond) {
-		switch a := <-c.ask(1, "\x00"); {
+		_, answer := c.ask(typeReady, "\x00")
+		switch a := <-answer; {
 		case a.Err != nil:
 			return a.Err
 		case a.Code == front.CodeCompleted:
