--- a/internal/lab/field.go
+++ b/internal/lab/field.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -45,16 +46,20 @@
 	if says == 0 {
 		says = s.Routers
 	}
+	times := []any{}
+	for _, w := range workloads {
+		times = append(times, s.patient(w.slo).Microseconds(), s.patient(w.budget).Microseconds())
+	}
 	return fmt.Sprintf(`{"bounds":{"mayCancel":true,"mayProbe":true,"maxAttempts":5,"maxOpen":5000,"connectTimeout":250000,"idleClose":15000000},
-	"classes":[{"name":"lookup","idempotency":"idempotent","objective":800000,"aimStretch":2,"deadline":2000000,"gain":1},
-		{"name":"report","idempotency":"idempotent","objective":1600000,"aimStretch":2,"deadline":4000000,"gain":7.5,"lateShare":0.3},
-		{"name":"price-load","idempotency":"at_most_once","objective":2000000,"aimStretch":2,"deadline":5000000,"gain":10,"lateShare":0.6}],
+	"classes":[{"name":"lookup","idempotency":"idempotent","objective":%d,"aimStretch":2,"deadline":%d,"gain":1},
+		{"name":"report","idempotency":"idempotent","objective":%d,"aimStretch":2,"deadline":%d,"gain":7.5,"lateShare":0.3},
+		{"name":"price-load","idempotency":"at_most_once","objective":%d,"aimStretch":2,"deadline":%d,"gain":10,"lateShare":0.6}],
 	"discovery":"pushed","extra":{"cpuOfKind":[%v],"ramOfKindMb":[32000],"threadsByClass":[1,2,2],"waitsForLoads":[false,false,false],
 		"writesTables":[false,false,false],"tellsEvery":300000,"onShortage":"page"},
 	"feedback":{"fields":["concurrent","load_share"],"via":"inline"},
 	"guarantees":{"drainGrace":1000000,"coldShare":%v,"warmAfter":%d,"overloadFactor":%v,"fall":%d},
-	"machineTypes":["k"],"tick":1000,"zone":"z","me":%d,"replicasOfMe":%d}`, engineCores, coldness.Share, coldness.Warm.Microseconds(),
-		coldness.Multiple, coldness.Window.Microseconds(), me, says)
+	"machineTypes":["k"],"tick":1000,"zone":"z","me":%d,"replicasOfMe":%d}`, append(times, engineCores, coldness.Share, coldness.Warm.Microseconds(),
+		coldness.Multiple, coldness.Window.Microseconds(), me, says)...)
 }
 
 var coldness = standin.Coldness{Share: 0.31, Multiple: 4, Warm: 5 * time.Second, Window: time.Second}
@@ -254,7 +259,8 @@
 	for i, w := range workloads {
 		mean, weights[i] = mean+w.share*w.mean, w.share
 	}
-	rate := f.s.Load * engineCores * float64(f.s.Engines) / mean
+	times := cmp.Or(f.s.Work, 1)
+	rate := f.s.Load * engineCores * float64(f.s.Engines) / (mean * times)
 	gap, kind := distuv.Exponential{Rate: rate, Src: r}, distuv.NewCategorical(weights, r)
 	spread := distuv.LogNormal{Mu: -0.18, Sigma: 0.6, Src: r} // of mean one
 	at := make([]float64, f.s.Routers)
@@ -273,7 +279,7 @@
 		if keep > f.rushAt(now) {
 			continue
 		}
-		work *= w.mean
+		work *= w.mean * times
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -281,7 +287,7 @@
 		}
 		leave := time.Duration(0)
 		if leaving.Float64() < f.s.Leavers {
-			leave = time.Duration(leaving.Int64N(int64(w.budget)))
+			leave = time.Duration(leaving.Int64N(int64(f.s.patient(w.budget))))
 		}
 		f.tries.Add(1)
 		go f.ask(clients, fmt.Sprintf("%08x%07x", uint32(f.s.Seed), n), w, router, work, table, seconds(now), leave)
@@ -308,11 +314,12 @@
 // leave: after so long it waits no more and says so; 0: it does not.
 func (f *field) ask(ctx context.Context, id string, w *workload, router int, work float64, table int, due, leave time.Duration) {
 	defer f.tries.Done()
+	budget := f.s.patient(w.budget)
 	for try := 0; ; try++ {
 		id := fmt.Sprintf("%s%x", id, try)
-		f.note(Event{At: due, What: Sent, Statement: id, Workload: w.name, Router: router, Budget: w.budget, Try: try, Work: work})
+		f.note(Event{At: due, What: Sent, Statement: id, Workload: w.name, Router: router, Budget: budget, Try: try, Work: work})
 		estimate := fmt.Sprint(max(1, int(work*1000)))
-		fields := map[string]string{"i": id, "c": w.name, "d": fmt.Sprint(max(1, (w.budget - (time.Since(f.began) - due)).Milliseconds())), "h": estimate, "heap_mb": "8"}
+		fields := map[string]string{"i": id, "c": w.name, "d": fmt.Sprint(max(1, (budget - (time.Since(f.began) - due)).Milliseconds())), "h": estimate, "heap_mb": "8"}
 		if try > 0 {
 			fields["r"] = "1"
 		}
@@ -320,7 +327,7 @@
 		if w.once {
 			verb = "update sales_%d.orders set total = 0 where cost = %s.%d"
 		}
-		a := f.routers[router].send(ctx, w.budget+tail, leave, fields, fmt.Sprintf(verb, table, estimate, w.threads))
+		a := f.routers[router].send(ctx, budget+tail, leave, fields, fmt.Sprintf(verb, table, estimate, w.threads))
 		e := Event{What: Answered, Statement: id, Workload: w.name, Router: router, Code: byte(a.Code)}
 		if errors.Is(a.Err, errLeft) {
 			e.What = Left
--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -94,15 +94,16 @@
 	mean       float64 // seconds on one thread
 	threads    int
 	importance float64
+	slo        time.Duration
 	budget     time.Duration // the client waits
 	once       bool          // it must not run twice
 }
 
 // Spans are scaled down from those of a real fleet so that a play takes seconds.
 var workloads = []workload{
-	{"lookup", 0.80, 0.02, 1, 1, 2 * time.Second, false},
-	{"report", 0.15, 0.25, 2, 7.5, 4 * time.Second, false},
-	{"price-load", 0.05, 0.3, 2, 10, 5 * time.Second, true},
+	{"lookup", 0.80, 0.02, 1, 1, 800 * time.Millisecond, 2 * time.Second, false},
+	{"report", 0.15, 0.25, 2, 7.5, 1600 * time.Millisecond, 4 * time.Second, false},
+	{"price-load", 0.05, 0.3, 2, 10, 2 * time.Second, 5 * time.Second, true},
 }
 
 func workloadOf(name string) *workload {
--- a/internal/lab/schedule.go
+++ b/internal/lab/schedule.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/google/go-jsonnet"
 	"gonum.org/v1/gonum/stat/distuv"
@@ -16,19 +17,21 @@
 // Schedule is an experiment: a fleet, its traffic, and what befalls it when. The same schedule gives the same statements at the
 // same times and the same faults; what processes and their machine make of them differs from play to play.
 type Schedule struct {
-	Name    string  `json:"name"`
-	Seed    uint64  `json:"seed"`
-	Routers int     `json:"routers"`
-	Engines int     `json:"engines"`
-	Seconds float64 `json:"seconds"`
-	Load    float64 `json:"load"`  // of the engines' cores, when all are well
-	Tries   int     `json:"tries"` // further ones of a client whose statement was rejected
-	Says    int     `json:"says"`  // routers, as the settings have it; 0: as many as there are
-	Busiest float64 `json:"busiest"`
-	Leavers float64 `json:"leavers"` // share of the clients that stop waiting before their time
-	Control int     `json:"control"` // processes of a control group, 0: there is none
-	Every   float64 `json:"every"`   // seconds between two versions that are proposed
-	Faults  []Fault `json:"faults"`
+	Name     string  `json:"name"`
+	Seed     uint64  `json:"seed"`
+	Routers  int     `json:"routers"`
+	Engines  int     `json:"engines"`
+	Seconds  float64 `json:"seconds"`
+	Load     float64 `json:"load"`  // of the engines' cores, when all are well
+	Tries    int     `json:"tries"` // further ones of a client whose statement was rejected
+	Says     int     `json:"says"`  // routers, as the settings have it; 0: as many as there are
+	Busiest  float64 `json:"busiest"`
+	Work     float64 `json:"work"`     // of a statement, times the usual; 0: as usual
+	Patience float64 `json:"patience"` // of clients, times the usual: SLO times and statement timeouts; 0: as usual
+	Leavers  float64 `json:"leavers"`  // share of the clients that stop waiting before their time
+	Control  int     `json:"control"`  // processes of a control group, 0: there is none
+	Every    float64 `json:"every"`    // seconds between two versions that are proposed
+	Faults   []Fault `json:"faults"`
 }
 
 // Fault is one thing that befalls some of the fleet at a time.
@@ -99,6 +102,11 @@
 
 const mostSeconds, mostProcesses = 600, 64
 
+// patient is a time of a client's, with the schedule's patience.
+func (s *Schedule) patient(usual time.Duration) time.Duration {
+	return time.Duration(cmp.Or(s.Patience, 1) * float64(usual))
+}
+
 // Check tells what is wrong with a schedule, by field.
 func (s *Schedule) Check() error {
 	for _, f := range []struct {
@@ -106,7 +114,7 @@
 		value      float64
 		least, top float64
 	}{{"routers", float64(s.Routers), 1, mostProcesses}, {"engines", float64(s.Engines), 1, mostProcesses}, {"seconds", s.Seconds, 1, mostSeconds},
-		{"load", s.Load, 0.01, 10}, {"tries", float64(s.Tries), 0, 10}, {"says", float64(s.Says), 0, 1e6}, {"control", float64(s.Control), 0, 7}, {"every", s.Every, 0, mostSeconds}, {"busiest", s.Busiest, 0, 100}, {"leavers", s.Leavers, 0, 1}} {
+		{"load", s.Load, 0.01, 10}, {"tries", float64(s.Tries), 0, 10}, {"says", float64(s.Says), 0, 1e6}, {"control", float64(s.Control), 0, 7}, {"every", s.Every, 0, mostSeconds}, {"busiest", s.Busiest, 0, 100}, {"leavers", s.Leavers, 0, 1}, {"work", s.Work, 0, 100}, {"patience", s.Patience, 0, 10}} {
 		if !(f.value >= f.least && f.value <= f.top) {
 			return fmt.Errorf("%s: %v is not from %v to %v", f.name, f.value, f.least, f.top)
 		}
