The guard measures a repeat's window by the clock that it was decided by

The guard looked at the clock some microseconds after the module: at the very end of a window it could have refused, and counted, what was decided in time. Not seen; from reading. Tests of the gateway pass.

--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -43,6 +43,7 @@
 	used    usedIDs
 	places  map[decision.EngineID]guard.Place // of the listed engines
 	timers  []decision.SetTimer
+	decided time.Duration    // when the module was last called
 	looked  time.Time        // by the backstop
 	also    []decision.Event // what answers led to, for the module's next call
 	looks   *classify.Classifier
@@ -128,6 +129,7 @@
 			r.enforce(changed)
 		}
 	}
+	r.decided = now
 	for _, action := range r.decide(now, events) {
 		r.carryOut(action)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -55,7 +55,7 @@
 		return
 	}
 	now, until := r.gateway.now(), s.ends
-	broken := s.rules.Execute(r.place(a.Engine), now)
+	broken := s.rules.Execute(r.place(a.Engine), r.decided) // by the clock that it was decided by
 	if a.Timeout > 0 && r.gateway.origin.Add(now+a.Timeout).Before(until) {
 		until = r.gateway.origin.Add(now + a.Timeout)
 	}
