A call without an answer may have come until its connection was reset

A poll that comes to the engine late (450 ms, below the 550 ms that its answer is awaited) keeps the execution from then on: it counted as over 2.55 s after the poll was written, while the engine ran it for 2.7 s. Now it counts as over 2.35 s after the reset, if that is later.

--- a/internal/back/back.go
+++ b/internal/back/back.go
@@ -24,6 +24,7 @@
 	pollSlack = 300 * time.Millisecond // beyond it a poll counts as hanging, and so does a page, which is not held
 	forgets   = 2 * time.Second        // an engine drops what has not been asked for so long
 	forgetOff = 300 * time.Millisecond // for what was on its way
+	resetOff  = 100 * time.Millisecond // the same behind a reset: only what the network itself holds comes later
 	askAgain  = 50 * time.Millisecond  // between tries on a connection that does not come up
 
 	idleShare = 0.6 // of the engines' idle time, after which a connection is retired here
--- a/internal/back/calloff.go
+++ b/internal/back/calloff.go
@@ -24,9 +24,15 @@
 // String is the proof's name in logs.
 func (p Proof) String() string { return proofNames[p] }
 
-// dropped is when the engine has dropped the execution at the latest, if it is not asked for it again.
+// dropped is when the engine has dropped the execution at the latest, if it is not asked for it again. A call without an answer may have
+// come to it until its connection was reset.
 func (x *Execution) dropped() time.Time {
-	return x.asked.time(x.back.origin).Add(pollHeld + forgets + forgetOff)
+	answered := x.asked.time(x.back.origin).Add(pollHeld + forgets + forgetOff)
+	unanswered := x.aborted.time(x.back.origin).Add(pollHeld + forgets + resetOff)
+	if unanswered.After(answered) {
+		return unanswered
+	}
+	return answered
 }
 
 // callOff makes sure that the execution is out no longer, and tells by what proof. There are three: the engine has answered that it
--- a/internal/back/calls.go
+++ b/internal/back/calls.go
@@ -93,6 +93,7 @@
 // abort resets the connection, on which a call has no answer: what of it is still on its way must not come to the engine later.
 func (x *Execution) abort() {
 	x.back.pool.abort(x.conn)
+	x.aborted.set(x.back.origin, time.Now())
 	x.conn = nil
 }
 
--- a/internal/back/execution.go
+++ b/internal/back/execution.go
@@ -28,6 +28,7 @@
 	cancel  context.CancelFunc
 	stage   atomic.Int32 // waiting, then started or revoked
 	written atomic.Bool  // its start has been handed to the kernel whole
+	aborted instant      // when a connection with a call for it that had no answer was reset
 	asked   instant      // when the engine was last asked for it, at the latest
 	ended   sync.Once
 	heard   chan struct{} // closed once the start has come to the engine or never will: nothing of it is on its way
--- a/internal/back/proof_test.go
+++ b/internal/back/proof_test.go
@@ -16,6 +16,7 @@
 
 	"bankledge/decision"
 	"bankledge/internal/guard"
+	"bankledge/internal/lab"
 )
 
 // lingering is an engine that goes on running what it has, whatever becomes of its listener and its connections.
@@ -258,3 +259,39 @@
 		})
 	}
 }
+
+// A poll comes to the engine late, and its answer not at all: the engine keeps the execution from when the poll came and was held. Nothing
+// confirms that it was given up, and it has ended once the engine has dropped it.
+func TestAPollThatComesLate(t *testing.T) {
+	const late = 450 * time.Millisecond // shorter than the router waits for the answer
+	started, polls := make(chan struct{}), make(chan struct{})
+	e := linger(t, func(_ *lingering, call string, _ int) string {
+		switch call {
+		case "POST":
+			close(started)
+			<-polls
+		case "GET":
+			time.Sleep(pollHeld)
+		}
+		return noNews
+	})
+	link, err := lab.NewLink(e.listener.Addr().String())
+	require.NoError(t, err)
+	defer link.Close()
+	ended := make(ends, 1)
+	b := New(t.Context(), ended, 4, time.Minute, time.Second, zap.NewNop())
+	b.Know("e", link.Address(), true)
+	x := b.Execute(Order{Statement: "1", Engine: "e", Text: []byte("select"), Until: time.Now().Add(time.Minute)})
+	await(t, started)
+	link.Set(lab.Way{Delay: late}, lab.Way{})
+	close(polls)
+	e.await(t, "POST")
+	polled := func() bool { return link.Dialled() == 2 && link.Held() > 0 } // the start's answer came sooner than one may, so the poll has a connection of its own
+	require.Eventually(t, polled, patience, time.Millisecond)
+	link.Set(lab.Way{Delay: late}, lab.Way{Cut: true})
+	require.NoError(t, link.Refuse(true))
+	x.GiveUp()
+	e.await(t, "GET")
+	assert.Equal(t, decision.Cancelled, await(t, ended).Outcome)
+	assert.False(t, e.isOut(), "the engine still runs it")
+}
