--- a/cmd/bankledge-lab/main_test.go
+++ b/cmd/bankledge-lab/main_test.go
@@ -106,6 +106,24 @@
 	}
 }
 
+// Whatever overlaps, the rules hold: soaks drawn from seeds, with faults of routers' hosts and clocks.
+func TestSoaks(t *testing.T) {
+	n := plays(t)
+	defer goleak.VerifyNone(t)
+	program := router(t)
+	for seed := range uint64((n + 1) / 2) {
+		s := lab.DrawSoak(602+seed, 15) // without the mends of the incident of wall-clock steps, 602 broke a rule
+		h, err := lab.Play(context.Background(), s, lab.Options{Program: program})
+		require.NoError(t, err)
+		assert.Greater(t, lab.Measure(h).InTime, 0.2, s.Name)
+		for _, b := range lab.Audit(h) {
+			if lab.IsInvariant(b.Auditor) {
+				t.Errorf("%s: %s, at %v: %s", s.Name, b.Auditor, b.At, b.Text)
+			}
+		}
+	}
+}
+
 // Each guard that can be taken off stands once in the source, and the router builds without it.
 func TestMutantsBuild(t *testing.T) {
 	plays(t)
--- a/cmd/bankledge-lab/mutants.go
+++ b/cmd/bankledge-lab/mutants.go
@@ -21,13 +21,16 @@
 	load    float64
 }
 
+// Of the mutants' schedules: statements run for longer than usual, and clients wait for longer.
+const mutantWork, mutantPatience = 4, 3
+
 // edit puts something in the place of what stands once in a file.
 type edit struct{ file, old, new string }
 
 const (
 	module   = "policy/policy.go"
-	watching = "m.due.At(s.Last, func() { m.giveUp(s) })"
-	dropping = "	case m.now < s.Last && m.mayRepeat(s):\n		s.Avoid = e\n		m.hold(s)\n	default:\n		m.giveUp(s)"
+	watching = "m.due.At(s.Last, func() { m.giveUp(s, decision.ReasonTimeUp) })"
+	dropping = "	case m.now < s.Last && m.mayRepeat(s):\n		s.Avoid = e\n		m.hold(s)\n	default:\n		m.giveUp(s, decision.ReasonNoRepeat)"
 )
 
 // roomy has engines never full: at this scale the room that routers keep is as good a guard for cold engines as their budget is.
@@ -36,6 +39,15 @@
 // noBackstop has the router leave open what the module has forgotten.
 var noBackstop = edit{"internal/gateway/route.go", "if !s.over && now.After(s.ends) {", "if false {"}
 
+// repeats has the module take every repeat for harmless; unguarded has the run-time guard do so, too.
+var (
+	repeats   = edit{module, "return len(s.Execs) < most && (s.Home == nil || s.Effect == decision.Idempotent ||", "return len(s.Execs) < most && (true || s.Home == nil || s.Effect == decision.Idempotent ||"}
+	unguarded = edit{"internal/guard/request.go", "	return r.mayRepeat(at, now)", "	return nil"}
+)
+
+// asked is where it is kept when an engine was last asked for an execution.
+const asked = "internal/back/instant.go"
+
 var (
 	allRouters = []int{0, 1, 2, 3, 4, 5, 6, 7, 8}
 	allEngines = []int{0, 1, 2, 3, 4, 5, 6, 7}
@@ -44,15 +56,33 @@
 	lost       = []lab.Fault{{Kind: "lose", At: 2, For: 2, Engines: []int{0, 1, 2}}}
 	lostMost   = []lab.Fault{{Kind: "lose", At: 2, For: 2, Engines: []int{0, 1, 2, 3, 4, 5}}}
 	crawling   = []lab.Fault{{Kind: "crawl", At: 2, For: 4, Engines: allEngines, Amount: 5}}
+	heldUp     = []lab.Fault{{Kind: "cut-there", At: 2, For: 3, Routers: allRouters, Engines: []int{0, 1, 2, 3}}}
+	flapping   = flaps([]lab.Fault{{Kind: "cut-back", At: 2, For: 3, Routers: allRouters, Engines: []int{0, 1, 2, 3}}})
 	erring     = []lab.Fault{{Kind: "err", At: 2, For: 3, Engines: []int{0, 1}}}
 )
 
+// flaps adds wall clocks of all routers that step there and back while links are cut.
+func flaps(faults []lab.Fault) []lab.Fault {
+	for i := range 10 {
+		amount := 20.0
+		if i%2 == 1 {
+			amount = -amount
+		}
+		faults = append(faults, lab.Fault{Kind: "clock", At: 2.3 + 0.2*float64(i), Routers: allRouters, Amount: amount})
+	}
+	return faults
+}
+
 // mutants are the guards that can be taken off.
 var mutants = []mutant{
-	{"a statement's time is not watched", "answers", []edit{{module, watching, "m.due.At(s.End+time.Second, func() { m.giveUp(s) })"}, noBackstop}, someCut, 0.5},
+	{"a statement's time is not watched", "answers", []edit{{module, watching, "m.due.At(s.End+time.Second, func() { m.giveUp(s, decision.ReasonTimeUp) })"}, noBackstop}, someCut, 0.5},
 	{"an answer is sent again", "answers", []edit{{"internal/front/front.go", "return c.queue(appendAnswer(make([]byte, 0, headBytes+leastLength+2+len(body)), typeAnswer, stream, code, body), stream)", "b := appendAnswer(nil, typeAnswer, stream, code, body)\n\treturn c.queue(append(b, b...), stream)"}}, nil, 0.5},
 	{"an answer is lost with its execution", "answers", []edit{{module, dropping, "	default:\n		m.finish(s)"}, noBackstop}, erring, 0.5},
-	{"what may have run goes again, whatever it is", "once", []edit{{module, "return len(s.Execs) < most && (s.Home == nil || s.Effect == decision.Idempotent ||", "return len(s.Execs) < most && (true || s.Home == nil || s.Effect == decision.Idempotent ||"}}, erring, 0.5},
+	{"what may have run goes again, whatever it is", "once", []edit{repeats, unguarded}, erring, 0.5},
+	{"the same, with the run-time guard", "guard", []edit{repeats}, erring, 0.5},
+	{"when an engine was asked is kept on the wall clock", "one at a time", []edit{{asked, "i.since.Store(int64(at.Sub(origin)))", "i.since.Store(int64(at.Round(0).Sub(origin.Round(0))))"},
+		{asked, "return origin.Add(time.Duration(i.since.Load()))", "return origin.Round(0).Add(time.Duration(i.since.Load()))"}}, flapping, 0.5},
+	{"a start that is held up on its way is left to the kernel", "left", []edit{{"internal/back/pool.go", "	c.willReset()\n	p.drop(c)", "	p.drop(c)"}}, heldUp, 0.5},
 	{"a lost connection ends an execution", "one at a time", []edit{{"internal/back/back.go", "forgets   = 2 * time.Second ", "forgets   = 2 * time.Millisecond "}}, []lab.Fault{{Kind: "crawl", At: 1, For: 6, Engines: allEngines, Amount: 8}, {Kind: "deaf", At: 2, For: 4, Engines: []int{0, 1, 2, 3}}, {Kind: "reset", At: 2.2, Routers: allRouters, Engines: []int{0, 1, 2, 3}}, {Kind: "reset", At: 3, Routers: allRouters, Engines: []int{0, 1, 2, 3}}}, 0.7},
 	{"drains are not heeded", "drains", []edit{{module, "case !e.Listed, e.State != decision.Ready: // drains, stricter than their grace", "case false:"}}, drained, 0.5},
 	{"what is gone is kept on the list", "drains", []edit{{module, "e.Entry, e.Listed = entry, entry.State != decision.Gone", "e.Entry, e.Listed = entry, true\n\t\te.State = decision.Ready"}}, drained, 0.5},
@@ -86,6 +116,9 @@
 		found := ""
 		for i := range c.Times {
 			s := &lab.Schedule{Name: m.name, Seed: uint64(i + 1), Routers: 9, Engines: 8, Seconds: 12, Load: m.load, Tries: 2, Busiest: 1, Faults: m.faults}
+			if m.auditor == "one at a time" || m.auditor == "left" {
+				s.Work, s.Patience, s.Leavers = mutantWork, mutantPatience, 0.2
+			}
 			o, err := c.play(ctx, program, "mutant", s)
 			if err != nil {
 				drop()
