--- a/internal/replica/harness_test.go
+++ b/internal/replica/harness_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -32,8 +33,17 @@
 	replicas map[uint64]*Replica
 	inFlight []*pb.Message
 	outcomes []configregister.Outcome
+
+	maxRemovedShares   map[uint64]float64 // by process; 0.5 for one that is not in it
+	compactionInterval uint64             // 0: testCompactionInterval
 }
 
+// Settings of a process for which a test names no others.
+const (
+	testMaxRemovedShare    = 0.5
+	testCompactionInterval = 20
+)
+
 func copyFolders(t *testing.T, ids []uint64, names ...string) map[uint64]string {
 	t.Helper()
 	folders := map[uint64]string{}
@@ -55,10 +65,10 @@
 			Logger:            &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)},
 		},
 		LeaseDurations:     lease.DefaultDurations(),
-		Guards:             configversion.Guards{MaxRemovedShare: 0.5},
+		Guards:             configversion.Guards{MaxRemovedShare: cmp.Or(g.maxRemovedShares[id], testMaxRemovedShare)},
 		InitialMembers:     g.initial,
 		Lineage:            "unused",
-		CompactionInterval: 20,
+		CompactionInterval: cmp.Or(g.compactionInterval, testCompactionInterval),
 	}
 }
 
--- a/policy/hedge_test.go
+++ b/policy/hedge_test.go
@@ -38,3 +38,20 @@
 		assert.Empty(t, h.at(2200*ms).sentTo(), "one hedge, no more")
 	}
 }
+
+// A slow attempt that cannot be cancelled has its statement queued for a hedge. Before there is an engine for it, the attempt errs, and the
+// statement is queued for a retry. It stood in the queue twice then: once engines had joined, one pass sent it to two of them.
+func TestHedgeAndRetryQueueOnce(t *testing.T) {
+	h := newHarness(t)
+	h.settings.Limits.Cancellation = false
+	h.settings.Limits.Hedging = true
+	h.settings.Workloads[0].LatencyObjective = 3 * time.Second
+	h.settings.Workloads[0].LateFactor = 0.5
+	e := h.at(0, ready("a"), read("s")).sentTo()
+	require.Equal(t, decision.EngineID("a"), e)
+	assert.Empty(t, h.at(1000*ms, progress("s", e, decision.ProgressShareDone, 0.01)).sentTo())
+	assert.Empty(t, h.at(1100*ms, end("s", 0, e, decision.Errored)).sentTo())
+	assert.Len(t, h.module.queue.waiting, 1)
+	assert.NotEmpty(t, h.at(1200*ms, ready("a", "b", "c", "d")).sentTo(), "one attempt")
+	assert.Empty(t, h.module.queue.waiting)
+}
