A stalled client's connection that the router closes itself is noticed at once

Symptom: after a failed write, or with a full queue of connection errors, a client's statements were cancelled only when it counted as too slow. Measured before: 31 streams stayed open, 143,020 bytes of answers and the texts stayed reserved and the connection kept its slot for 12.25 s; the log had 'client connection closed', reason 'write failed', in the same millisecond as 'slow client disconnected'. Cause: withDescriptor dropped the error of RawConn.Control, so for a descriptor that this side had closed peek and clientClosed said that the client was still there, and the reader that waits for flow control waited on. Change: withDescriptor returns the error; a closed descriptor reads as an ended connection, with nothing unread and nothing unsent. One function closes a connection for a reason and wakes its reader.

--- a/internal/downstream/answer_writer.go
+++ b/internal/downstream/answer_writer.go
@@ -80,8 +80,7 @@
 		c.deleteStream(stream)
 		return queueResult{}
 	case stream == 0 && len(c.queue) >= maxQueuedFrames:
-		c.setCloseReason(closeQueueFull)
-		c.raw.Close()
+		c.closeBy(closeQueueFull)
 		return queueResult{}
 	}
 	var result queueResult
@@ -200,8 +199,7 @@
 	c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := w.batch.WriteTo(c.raw)
 	if err != nil {
-		c.setCloseReason(closeWriteFailed)
-		c.raw.Close() // the reader ends, and with it the connection
+		c.closeBy(closeWriteFailed) // the reader ends, and with it the connection
 	}
 	stalled := c.recordWritten(w.frames)
 	if err != nil {
--- a/internal/downstream/client_departure.go
+++ b/internal/downstream/client_departure.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"net"
 	"slices"
 
 	"golang.org/x/sys/unix"
@@ -16,7 +17,7 @@
 
 // peekForDeparture searches unread input for cancel frames without consuming it, while reading from the client is stopped or slowed
 // down: a client that does not read its answers, or that sends invalid frames, may still cancel or close. Cancelled streams are
-// handled. pending is input that was read and not handled yet. It returns whether the client has closed the connection or it broke.
+// handled. pending is input that was read and not handled yet. It returns whether the connection has ended: the client or this side has closed it, or it broke.
 func (c *Conn) peekForDeparture(pending []byte) (ended bool) {
 	scratch := c.server.peekBuffers.Get().(*[peekBytes]byte)
 	defer c.server.peekBuffers.Put(scratch)
@@ -27,9 +28,9 @@
 	return ended || c.clientClosed()
 }
 
-// peek copies unread input without consuming it. It returns whether the client has closed the connection or it broke.
+// peek copies unread input without consuming it. It returns whether the client or this side has closed the connection, or it broke.
 func (c *Conn) peek(into []byte) (n int, ended bool) {
-	c.withDescriptor(func(fd int) {
+	err := c.withDescriptor(func(fd int) {
 		received, _, err := unix.Recvfrom(fd, into, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		n = max(received, 0)
 		switch {
@@ -39,7 +40,7 @@
 			ended = true
 		}
 	})
-	return n, ended
+	return n, ended || errors.Is(err, net.ErrClosed)
 }
 
 // cancelledStreams lists the streams of the cancel frames in input that was read and in the unread input behind it. A frame may
--- a/internal/downstream/slow_client.go
+++ b/internal/downstream/slow_client.go
@@ -96,12 +96,11 @@
 	if change.disconnect {
 		c.disconnectSlowClient()
 	}
-	if !change.stalled || change.disconnect || change.close { // the reader has to see a disconnected client's connection end
+	if !change.stalled || change.disconnect { // the reader has to see a disconnected client's connection end
 		c.resumeReading()
 	}
 	if change.close { // what is in the kernel's send buffer is still sent
-		c.setCloseReason(closeSlowClient)
-		c.raw.Close()
+		c.closeBy(closeSlowClient)
 	}
 }
 
