The control feed's unread list is read after a long suspension, and no connection is no silence

Symptom: resumed after 3 s, a router sent 30 of 30 statements to an engine whose drain lay unread on the feed's connection. Cause: the read's deadline had passed during the suspension, so the connection was closed with the list unread; HasUnreadEvents then answered false for a connection that is not there or closed, so nothing waited for the reconnection. Change: a read whose deadline has passed is done once more if bytes have arrived, as client connections do it; without an open connection the answer is that events may be unread, for which callers wait at most 0.5 s, just after a pause. What asks a descriptor stands once, in internal/tcpsocket, with the error for a closed one.

--- a/internal/discovery/connection.go
+++ b/internal/discovery/connection.go
@@ -8,10 +8,9 @@
 	"strconv"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"bankledge/internal/http1"
 	"bankledge/internal/sse"
+	"bankledge/internal/tcpsocket"
 )
 
 const (
@@ -145,23 +144,13 @@
 	})
 }
 
-// HasUnreadEvents returns whether the control feed has sent something that was not read, or not handled, yet. It is safe for
-// concurrent use.
-func (c *Client) HasUnreadEvents() (unread bool) {
+// HasUnreadEvents returns whether the control feed may have sent something that was not read, or not handled, yet. Without a connection,
+// or on one that this process has closed, that is not known: it is requested again on the next one. It is safe for concurrent use.
+func (c *Client) HasUnreadEvents() bool {
 	conn := c.conn.Load()
-	if conn == nil {
-		return false
-	}
-	if !c.reading.Load() {
+	if conn == nil || !c.reading.Load() {
 		return true
 	}
-	raw, err := conn.SyscallConn()
-	if err != nil { // closed: no more events arrive on it
-		return false
-	}
-	raw.Control(func(fd uintptr) {
-		n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
-		unread = err == nil && n > 0
-	})
-	return unread
+	unread, err := tcpsocket.UnreadBytes(conn)
+	return err != nil || unread > 0
 }
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"bankledge/internal/tcpsocket"
 )
 
 const (
@@ -16,6 +18,8 @@
 	initialLineTimeout = 1250 * time.Millisecond
 	// progressBytes of one line count as progress, too: an event may be long.
 	progressBytes = 4 << 10
+	// lateReadTimeout bounds a read, after its deadline, of bytes that have arrived.
+	lateReadTimeout = 20 * time.Millisecond
 	// eventTimeout is the time without an event, comments or not, after which another connection is opened, in case this one misses events.
 	eventTimeout = 4 * time.Second
 )
@@ -41,10 +45,7 @@
 // is progress but no event, and another connection could be made.
 func (l *liveConn) Read(p []byte) (int, error) {
 	for {
-		l.SetReadDeadline(l.deadline())
-		l.reading.Store(true)
-		n, err := l.Conn.Read(p)
-		l.reading.Store(false)
+		n, err := l.readBefore(p, l.deadline())
 		now := time.Now()
 		l.recordProgress(p[:n], now)
 		timedOut := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
@@ -58,6 +59,22 @@
 	}
 }
 
+// readBefore reads once, before a deadline. What arrived in time while the router did not run is read after it.
+func (l *liveConn) readBefore(p []byte, deadline time.Time) (int, error) {
+	l.reading.Store(true)
+	defer l.reading.Store(false)
+	l.SetReadDeadline(deadline)
+	n, err := l.Conn.Read(p)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	if unread, unreadErr := tcpsocket.UnreadBytes(l.Conn); unreadErr != nil || unread == 0 {
+		return n, err
+	}
+	l.SetReadDeadline(time.Now().Add(lateReadTimeout))
+	return l.Conn.Read(p)
+}
+
 // deadline is when progress, or an event, is due.
 func (l *liveConn) deadline() time.Time {
 	progressDue := l.lastProgress.Add(l.progressTimeout)
--- a/internal/downstream/client_departure.go
+++ b/internal/downstream/client_departure.go
@@ -7,6 +7,8 @@
 	"slices"
 
 	"golang.org/x/sys/unix"
+
+	"bankledge/internal/tcpsocket"
 )
 
 // peekBytes bounds how many unread bytes are searched for cancel frames.
@@ -30,7 +32,7 @@
 
 // peek copies unread input without consuming it. It returns whether the client or this side has closed the connection, or it broke.
 func (c *Conn) peek(into []byte) (n int, ended bool) {
-	err := c.withDescriptor(func(fd int) {
+	err := tcpsocket.Control(c.raw, func(fd int) {
 		received, _, err := unix.Recvfrom(fd, into, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		n = max(received, 0)
 		switch {
