An attempt that is requested while the engines' client ends is not started

Cause: the event loop starts attempts until it learns of the end, while Client.Run waits already; the group may be empty then. A late cancellation or health check enters by the same way. Change: tasks run in a group that is closed under its mutex before the last wait; what is requested after that is neither sent nor notified. The other groups of goroutines were looked through: control client and server start and wait in an order that a context or one goroutine fixes, the client server's group is used by one goroutine.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -68,7 +68,8 @@
 	phaseCancelledUnsent                     // nothing was sent, and nothing will be
 )
 
-// StartAttempt runs an attempt in the background. The listener is notified of its progress and of its one end.
+// StartAttempt runs an attempt in the background. The listener is notified of its progress and of its one end. Once Run has closed the
+// client nothing is started, sent or notified.
 func (c *Client) StartAttempt(request AttemptRequest) *Attempt {
 	ctx, cancel := context.WithDeadline(c.lifetime, request.Deadline)
 	a := &Attempt{
@@ -83,18 +84,25 @@
 		endConfirmed:   make(chan struct{}),
 	}
 	c.pool.attemptStarted(request.Engine)
-	c.tasks.Go(func() {
-		defer cancel()
-		stop := context.AfterFunc(ctx, a.onContextDone)
-		end, known := a.run()
-		if known { // otherwise onContextDone reports the end, and may be yet to begin
-			stop()
-			a.reportEnd(end)
-		}
-	})
+	if !c.tasks.start(a.runAndReport) {
+		a.phase.Store(phaseCancelledUnsent)
+		cancel()
+		c.pool.attemptFinished(request.Engine)
+	}
 	return a
 }
 
+// runAndReport runs the attempt and reports its end.
+func (a *Attempt) runAndReport() {
+	defer a.cancel()
+	stop := context.AfterFunc(a.ctx, a.onContextDone)
+	end, known := a.run()
+	if known { // otherwise onContextDone reports the end, and may be yet to begin
+		stop()
+		a.reportEnd(end)
+	}
+}
+
 // run takes an attempt to its end. known is false where the attempt was cancelled or expired while the engine had it:
 // onContextDone reports its end then.
 func (a *Attempt) run() (end attemptEnd, known bool) {
--- a/internal/upstream/attempt_cancel.go
+++ b/internal/upstream/attempt_cancel.go
@@ -48,7 +48,7 @@
 	if errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
 		outcome = decision.TimedOut
 	}
-	a.client.tasks.Go(func() {
+	a.client.tasks.start(func() { // not after the last wait: the client has ended then
 		a.reportEnd(attemptEnd{outcome: outcome, proof: a.cancelAtEngine()})
 	})
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,7 +26,8 @@
 type Listener interface {
 	// AttemptProgressed is called for each progress report of an attempt.
 	AttemptProgressed(decision.AttemptProgress)
-	// AttemptEnded is called once for each attempt; result is the complete result of a completed one.
+	// AttemptEnded is called once for each attempt; result is the complete result of a completed one. It is not called for one that is
+	// requested after Client.Run has ended the others.
 	AttemptEnded(ended decision.AttemptEnded, result []byte)
 	// HealthCheckEnded is called once for each health check.
 	HealthCheckEnded(decision.HealthCheckEnded)
@@ -40,7 +40,7 @@
 	pool        *connectionPool
 	lifetime    context.Context // ends the attempts
 	clockOrigin time.Time       // of every sharedTime; has a monotonic reading
-	tasks       sync.WaitGroup
+	tasks       taskGroup // attempts, cancellations and health checks
 
 	// Violations counts attempt ends whose proof did not hold.
 	Violations *invariant.Recorder
@@ -66,10 +66,10 @@
 	}
 }
 
-// Run maintains the connection pool until ctx ends, then closes it and waits for attempts and health checks.
+// Run maintains the connection pool until ctx ends, then closes it and waits for attempts and health checks. None begins after that.
 func (c *Client) Run(ctx context.Context) error {
 	c.pool.run(ctx)
-	c.tasks.Wait()
+	c.tasks.close()
 	return nil
 }
 
--- a/internal/upstream/health_check.go
+++ b/internal/upstream/health_check.go
@@ -10,9 +10,9 @@
 const healthCheckPath = "/busy"
 
 // CheckHealth requests an engine's load report and notifies the listener of the outcome. The connect timeout bounds
-// connecting and the response together.
+// connecting and the response together. Nothing is checked once Run has closed the client.
 func (c *Client) CheckHealth(engine decision.EngineID) {
-	c.tasks.Go(func() {
+	c.tasks.start(func() {
 		began := time.Now()
 		ended := decision.HealthCheckEnded{Engine: engine}
 		ended.Outcome, ended.Report = c.exchangeHealthCheck(engine, began.Add(c.pool.connectTimeout))
