A statement stands in the queue once: a retry takes the place that its hedge waits in

Symptom: cancellation off, hedging on: a slow attempt queues a hedge, the attempt errs before there is an engine for it, and the statement is queued again; one pass then started two attempts, over the retry budget of one and with more load for a cold engine than counted. Cause: enqueue appended without asking whether the statement waits already; only the hedge asked, by searching the queue. Change: a statement knows whether it is queued; enqueue keeps the place that it has. It is the one way into the queue, so parked statements and retries pass it, too.

--- a/policy/hedge.go
+++ b/policy/hedge.go
@@ -66,7 +66,7 @@
 	// Not again before each engine might have had its turn.
 	a.engine.passedOverUntil = m.arrivals + len(m.endpoints.all)
 	m.cancelAttempt(a, reason)
-	if a.cancelled || !m.limits.Hedging || s.openAttempts != 1 || m.queue.contains(s) {
+	if a.cancelled || !m.limits.Hedging || s.openAttempts != 1 || s.queued {
 		return
 	}
 	s.avoid = a.engine
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -19,15 +19,17 @@
 	dirty    bool // statements may find a place that they did not find before
 }
 
-// enqueue has a statement wait for its next attempt.
+// enqueue has a statement wait for its next attempt. One that waits already, for a hedge, keeps its place: it waits for
+// one attempt, whatever that will be.
 func (m *Module) enqueue(s *statement) {
 	s.parked = false
+	if s.queued {
+		return
+	}
+	s.queued = true
 	m.queue.waiting = append(m.queue.waiting, s)
 }
 
-// contains reports whether a statement waits for an attempt.
-func (q *statementQueue) contains(s *statement) bool { return slices.Contains(q.waiting, s) }
-
 // dispatch starts attempts of the statements that wait, by what their answers count for their work, and sheds those
 // whose answers no longer count. Unless the queue is dirty, only what has just arrived is examined.
 func (m *Module) dispatch() {
@@ -41,7 +43,8 @@
 	}
 	withoutEngine := make([]int, len(m.workloads))
 	remaining := slices.DeleteFunc(q.waiting[q.examined:], func(s *statement) bool {
-		return m.leavesQueue(s, withoutEngine)
+		s.queued = !m.leavesQueue(s, withoutEngine)
+		return !s.queued
 	})
 	q.examined += len(remaining)
 	q.waiting = q.waiting[:q.examined]
--- a/policy/statement.go
+++ b/policy/statement.go
@@ -28,6 +28,7 @@
 	clientRetry    bool          // its client sent it before
 
 	clientBlocked bool // its client does not read answers at the moment
+	queued        bool // in the queue, where it stands once
 	parked        bool // out of the queue until its client reads again
 	finished      bool
 	streaming     bool // its response has begun
