Each log entry holds the share by which a proposal is judged; quotas are summed in order

Cause: Apply judged committed proposals by the process's own setting. Looking for other such inputs found one: the sum of the quotas (parts) was taken in the order of a map, and its rounding decided at the limit. Change: the leader that writes an entry writes its share with it, which overwrites whatever a request says; Apply uses that. Quotas are summed by sorted names. Other inputs of Apply, read through: the lineage stands in the entry; there is no clock; encodings sort their maps. What stays is the build: limits and texts of rules.Validate are those of the program.

--- a/internal/configregister/entry.go
+++ b/internal/configregister/entry.go
@@ -2,7 +2,16 @@
 
 import "encoding/json"
 
-// Entry is what the control group writes to its replicated log, encoded as JSON.
+// LogEntry is what the control group writes to its replicated log, encoded as JSON: an entry with all that its result depends on beside
+// the register. A process's own settings may differ from those of the others, and from those with which it replays the log later.
+type LogEntry struct {
+	Entry
+	// MaxRemovedShare is configversion.Guards.MaxRemovedShare as the settings of the leader that wrote the entry have it, from the first
+	// entry on. 0 in entries of earlier versions of this program: Register.Guards counts then.
+	MaxRemovedShare float64 `json:"most_gone,omitempty"`
+}
+
+// Entry is a change of the register. Proposals have this form in requests, too.
 type Entry struct {
 	Kind    string          `json:"kind"`             // one of the constants below
 	ID      string          `json:"id,omitempty"`     // EntryPropose, EntryRollback: identifies the proposal; written twice, it is applied once
--- a/internal/configregister/register.go
+++ b/internal/configregister/register.go
@@ -17,6 +17,8 @@
 
 // Register holds the versions. The zero value with Guards is the register of a group that is not founded yet.
 type Register struct {
+	// Guards are those of the last entry that held a share. Before there is one they are those of the snapshot, or of the process's
+	// settings: they judge only entries that earlier versions of this program wrote, which hold none.
 	Guards   configversion.Guards     `json:"guards"`
 	Lineage  string                   `json:"lineage"`  // empty until the group is founded
 	Floor    *rules.Rules             `json:"floor"`    // of the first version: routers without a lease may rely on it
@@ -86,17 +88,20 @@
 // Apply applies an encoded log entry. It returns the outcome and true if the entry was a proposal. It never fails: the error of a
 // proposal is its outcome, and an entry that can't be read is skipped, as no version of this program has written it.
 func (r *Register) Apply(raw []byte) (Outcome, bool) {
-	var entry Entry
+	var entry LogEntry
 	if err := json.Unmarshal(raw, &entry); err != nil {
 		return Outcome{}, false
 	}
+	if entry.MaxRemovedShare != 0 {
+		r.Guards.MaxRemovedShare = entry.MaxRemovedShare
+	}
 	switch entry.Kind {
 	case EntryFound:
 		r.found(entry.Lineage)
 	case EntryActivate:
 		r.activate(entry.Number)
 	case EntryPropose, EntryRollback:
-		return r.applyProposal(entry), true
+		return r.applyProposal(entry.Entry), true
 	}
 	return Outcome{}, false
 }
@@ -202,6 +207,12 @@
 	return raw
 }
 
+// IsFromEarlierVersion reports whether an encoded log entry holds no share, so that its result depends on Register.Guards.
+func IsFromEarlierVersion(raw []byte) bool {
+	var entry LogEntry
+	return json.Unmarshal(raw, &entry) == nil && entry.MaxRemovedShare == 0
+}
+
 // Restore replaces the register by a snapshot, with the guards that the snapshot holds. On an error the register is unchanged.
 func (r *Register) Restore(raw []byte) error {
 	restored := Register{Guards: r.Guards}
--- a/internal/replica/changed_settings_test.go
+++ b/internal/replica/changed_settings_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bankledge/internal/configregister"
+	"bankledge/internal/consensus/store"
 	"bankledge/internal/lease"
 	"bankledge/internal/rules"
 )
@@ -130,3 +132,51 @@
 		})
 	}
 }
+
+// storeInEarlierFormat copies a process's stored state to a new folder, with the entries as earlier versions wrote them: without a share.
+func (g *storedGroup) storeInEarlierFormat(id uint64) {
+	g.t.Helper()
+	disk, err := store.Open(g.folders[id], id)
+	require.NoError(g.t, err)
+	stored, err := disk.Load()
+	require.NoError(g.t, err)
+	require.NoError(g.t, disk.Close())
+	for _, entry := range stored.Entries {
+		var written configregister.LogEntry
+		if json.Unmarshal(entry.GetData(), &written) != nil {
+			continue // a leader's first entry, or a change of members
+		}
+		earlier, err := json.Marshal(written.Entry)
+		require.NoError(g.t, err)
+		require.NotContains(g.t, string(earlier), "most_gone")
+		entry.Data = earlier
+	}
+	g.folders[id] = g.t.TempDir()
+	disk, err = store.Open(g.folders[id], id)
+	require.NoError(g.t, err)
+	require.NoError(g.t, disk.Save(stored))
+	require.NoError(g.t, disk.Close())
+}
+
+// Entries of earlier versions hold no share. Started with the share that it had, a process holds the versions that it held, and from then on
+// it does so with any other share.
+func TestReplayOfEntriesWithoutShare(t *testing.T) {
+	for _, c := range []struct {
+		before, after float64
+		newest        uint64
+	}{{0.5, 0.1, 2}, {0.1, 0.5, 1}} {
+		t.Run(fmt.Sprint(c.before, " then ", c.after), func(t *testing.T) {
+			g := openNewGroup(t, c.before)
+			g.removeThreeOfEight()
+			g.close()
+			g.storeInEarlierFormat(1)
+			for _, share := range []float64{c.before, c.after, c.before} {
+				g.maxRemovedShares[1] = share
+				g.open()
+				g.runUntil(func() bool { return g.leader() != 0 && g.allActivated(c.newest) })
+				assert.Equal(t, c.newest, g.replicas[1].Register().NewestNumber(), "with %v", share)
+				g.close()
+			}
+		})
+	}
+}
--- a/internal/replica/log.go
+++ b/internal/replica/log.go
@@ -100,9 +100,9 @@
 }
 
 // appendEntry proposes an entry to the log. If that fails, the proposer is notified; an entry without a proposer is requested again by the
-// coordinator itself.
+// coordinator itself. This process's share is written with the entry, so that all processes judge it alike, now and when they replay it.
 func (r *Replica) appendEntry(entry configregister.Entry) []Action {
-	raw, err := json.Marshal(entry)
+	raw, err := json.Marshal(configregister.LogEntry{Entry: entry, MaxRemovedShare: r.settings.Guards.MaxRemovedShare})
 	if err == nil {
 		err = r.node.Propose(raw)
 	}
@@ -128,6 +128,7 @@
 			if outcome, hasOutcome := r.register.Apply(entry.GetData()); hasOutcome {
 				outcomes = append(outcomes, outcome)
 			}
+			r.appliedEarlierFormat = r.appliedEarlierFormat || configregister.IsFromEarlierVersion(entry.GetData())
 		}
 	}
 	actions = append(actions, r.stepCoordinator(r.stateApplied(outcomes))...)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -29,8 +29,10 @@
 	lastAppliedTerm uint64                    // of the last entry that was applied
 	confirmedReads  []consensus.ConfirmedRead // that wait until the log is applied up to their index
 	snapshotIndex   uint64                    // of the last snapshot
-	pendingChanges  map[uint64]struct{}       // calls that wait for their membership change
-	lastPromotion   map[uint64]time.Duration  // of a learner, when it was proposed last
+	// appliedEarlierFormat: since the last snapshot an entry was applied that holds no share.
+	appliedEarlierFormat bool
+	pendingChanges       map[uint64]struct{}      // calls that wait for their membership change
+	lastPromotion        map[uint64]time.Duration // of a learner, when it was proposed last
 }
 
 // New restores a process from its stored state, or makes it a founding member of a group if that state is empty. now is the caller's
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -50,12 +50,15 @@
 	return []Action{PublishState{}, MembershipChanged{maps.Clone(r.members)}}
 }
 
-// compact replaces the log by a snapshot once enough entries were applied since the last one.
+// compact replaces the log by a snapshot once enough entries were applied since the last one. Entries of an earlier version of this
+// program are replaced at once: the snapshot holds the share by which they were judged, a later replay would use that of the settings then.
 func (r *Replica) compact() []Action {
 	interval := r.settings.CompactionInterval
-	if interval == 0 || r.node.AppliedIndex() < r.snapshotIndex+interval {
+	due := interval != 0 && r.node.AppliedIndex() >= r.snapshotIndex+interval
+	if !due && !r.appliedEarlierFormat {
 		return nil
 	}
+	r.appliedEarlierFormat = false
 	raw, err := json.Marshal(snapshotData{Register: r.register.Snapshot(), Members: r.members})
 	if err != nil {
 		panic(err) // the state holds nothing that can't be encoded
--- a/internal/rules/fields.go
+++ b/internal/rules/fields.go
@@ -160,11 +160,12 @@
 // quotaTolerance is how far the sum of all quotas may exceed 1, for rounding.
 const quotaTolerance = 1e-9
 
-// checkFleetQuotas checks that the quotas of all routers, unnamed ones included, do not exceed the fleet.
+// checkFleetQuotas checks that the quotas of all routers, unnamed ones included, do not exceed the fleet. They are summed in the order of
+// the names: the sum's rounding depends on the order, and all replicas of the control group have to find the same.
 func checkFleetQuotas(r *Rules) error {
 	sum := 0.0
-	for _, quota := range r.FleetQuotas {
-		sum += quota
+	for _, router := range slices.Sorted(maps.Keys(r.FleetQuotas)) {
+		sum += r.FleetQuotas[router]
 	}
 	if unnamed := r.Routers - len(r.FleetQuotas); unnamed > 0 && r.Routers > 0 {
 		sum += float64(unnamed) / float64(r.Routers)
