--- /dev/null
+++ b/internal/downstream/eviction_crossing_test.go
@@ -0,0 +1,138 @@
+package downstream
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// gatedHandler stands in Ready until its gate is opened.
+type gatedHandler struct {
+	*chanHandler
+	gate chan struct{}
+}
+
+func (h gatedHandler) Ready() bool {
+	h.queries <- struct{}{}
+	<-h.gate
+	return true
+}
+
+// makeIdle has a connection count as idle for a minute.
+func makeIdle(conn *Conn) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	conn.hasSentFrame = true
+	conn.idleSince = time.Now().Add(-time.Minute)
+}
+
+// A connection was chosen to be closed for another, its lock was given back, and the second look, before the close, asked only whether it
+// had ended or a stream was open. What had come in between was lost: an answer that waited, or a statement that nobody had read.
+func TestEvictionLooksAgainAtAll(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	for _, c := range []struct {
+		name    string
+		happens func(*testing.T, *Conn, net.Conn)
+	}{
+		{"an answer waits", func(_ *testing.T, conn *Conn, _ net.Conn) {
+			conn.openStream(1)
+			conn.Answer(1, CodeCompleted, nil)
+			conn.CloseStream(1)
+			makeIdle(conn)
+		}},
+		{"an answer is being written", func(_ *testing.T, conn *Conn, _ net.Conn) {
+			conn.mu.Lock()
+			defer conn.mu.Unlock()
+			conn.framesInWrite = 1
+		}},
+		{"a statement lies unread", func(t *testing.T, conn *Conn, client net.Conn) {
+			write(t, client, statementFrame(1))
+			require.Eventually(t, func() bool { return conn.unreadBytes() > 0 }, eventTimeout, time.Millisecond)
+		}},
+		{"an answer was just written", func(_ *testing.T, conn *Conn, _ net.Conn) {
+			conn.mu.Lock()
+			defer conn.mu.Unlock()
+			conn.idleSince = time.Now()
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := dial(t, listener.Addr().String())
+			raw, err := listener.Accept()
+			require.NoError(t, err)
+			defer raw.Close()
+			server := newTestServer(newChanHandler(), 1<<20)
+			conn := newConn(server, raw, server.flow.OpenPeer("x"), time.Now().Add(-time.Minute))
+			makeIdle(conn)
+			require.Equal(t, evictIdle, conn.evictionRank(), "it is chosen")
+			c.happens(t, conn, client)
+			assert.False(t, conn.closeIfIdle())
+		})
+	}
+}
+
+// The reader has read a statement and stands before it, at the query that came with it, when the connection is closed for another. Nothing
+// was unread and no stream was open, so the statement was read and had no answer.
+func TestStatementThatWasReadPreventsEviction(t *testing.T) {
+	handler := gatedHandler{newChanHandler(), make(chan struct{})}
+	server := newTestServer(handler, 1<<20)
+	client := dial(t, listenAndServe(t, server))
+	write(t, client, appendFrame(nil, frameReadinessQuery, 0, 0), statementFrame(1))
+	await(t, handler.queries)
+	conn := server.snapshot()[0]
+	makeIdle(conn)
+	require.Zero(t, conn.unreadBytes())
+	server.evictOne()
+	close(handler.gate)
+	assert.Same(t, conn, await(t, handler.statements))
+}
+
+// A statement of which a part was read is on its way: its connection is not closed for another.
+func TestPartOfStatementPreventsEviction(t *testing.T) {
+	server, handler, address := serve(t)
+	client := dial(t, address)
+	write(t, client, appendFrame(nil, frameReadinessQuery, 0, 0), statementFrame(1)[:7])
+	await(t, handler.queries)
+	conn := server.snapshot()[0]
+	require.Eventually(t, func() bool { return conn.unreadBytes() == 0 && conn.flushed() }, eventTimeout, time.Millisecond)
+	time.Sleep(10 * time.Millisecond) // the client has read the reply, and the reader waits for the rest
+	makeIdle(conn)
+	server.evictOne()
+	write(t, client, statementFrame(1)[7:])
+	assert.Same(t, conn, await(t, handler.statements))
+}
+
+// The choice among idle connections compares how long they are idle, which their own goroutines change. The race detector reported it.
+func TestChoiceBesideOtherGoroutines(t *testing.T) {
+	server := newTestServer(newChanHandler(), 1<<20)
+	var conns []*Conn
+	for range 50 {
+		raw, client := net.Pipe()
+		defer client.Close()
+		conn := newConn(server, raw, server.flow.OpenPeer("x"), time.Now().Add(-time.Minute))
+		makeIdle(conn)
+		server.register(conn)
+		conns = append(conns, conn)
+	}
+	chosen := make(chan struct{})
+	go func() {
+		defer close(chosen)
+		for range conns {
+			server.evictOne()
+		}
+	}()
+	for done := false; !done; {
+		for _, conn := range conns {
+			makeIdle(conn)
+		}
+		select {
+		case <-chosen:
+			done = true
+		default:
+		}
+	}
+}
