Confirmation tokens of a leader are never used twice by a process

Symptom: a leader that was silenced for want of a quorum and led again in the same term took a response to a request from before the silence for the confirmation of a later one. Nobody had been asked since, so a lease could be granted, or a status given as the leader's, beside a newer leader. Cause: the token counter began anew with each leadership, and two leaderships of a process can be of one term; the raft library drops responses of other terms only. Change: the counter goes on.

--- a/internal/lease/coordinator.go
+++ b/internal/lease/coordinator.go
@@ -30,7 +30,7 @@
 	// Requests that wait for a confirmation of leadership.
 	unconfirmed        []request // received after the last ConfirmLeadership
 	confirming         []request // received before it
-	confirmationToken  uint64    // of the last ConfirmLeadership
+	confirmationToken  uint64    // of the last ConfirmLeadership; never used twice by a process
 	confirmationSentAt time.Duration
 
 	// Proposals.
@@ -84,9 +84,11 @@
 	return nil
 }
 
-// gainLeadership keeps only the replicated state: which leases an earlier leader granted is not known.
+// gainLeadership keeps only the replicated state: which leases an earlier leader granted is not known. Confirmation tokens go on: this
+// process may have led before in the same term, and confirmations of that leadership may still arrive.
 func (c *Coordinator) gainLeadership(now time.Duration) {
 	*c = Coordinator{
+		confirmationToken: c.confirmationToken,
 		durations:         c.durations,
 		isLeader:          true,
 		earlierLeasesEnd:  now + c.durations.CoordinatorLease(),
