No progress of an attempt is reported behind its end

Symptom: the engine confirms a cancellation while it holds a poll, the end is reported, and the poll's answer then reports progress; the decision module took it for a sign of life of the engine and readmitted one that may have been ejected since. Cause: the goroutine that polls and the one that cancels report without an order between them. Change: progress is reported under a lock that the end takes first; behind the end it is dropped.

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -50,6 +50,8 @@
 	startResolved chan struct{} // closed once the start has reached the engine or never will: nothing of it is under way
 	endConfirmed  chan struct{} // closed once a response has proven that the engine does not run the attempt any more
 	endOnce       sync.Once
+	reporting     sync.Mutex // held while progress is reported, and to set endReported
+	endReported   bool       // no progress is reported any more
 	lastRequest   sharedTime // when the engine was last sent a request that keeps the attempt alive
 	lastAbort     sharedTime // when a connection was reset because a request had no response
 
--- a/internal/upstream/attempt_end.go
+++ b/internal/upstream/attempt_end.go
@@ -95,6 +95,7 @@
 			a.client.Violations.Record(violation)
 			end.proof = a.cancelAtEngine()
 		}
+		a.endProgress()
 		a.logEnd(end)
 		a.client.pool.attemptFinished(a.Engine)
 		ended := decision.AttemptEnded{
@@ -109,6 +110,23 @@
 	})
 }
 
+// reportProgress notifies the listener of progress, unless the end was reported: a poll may be answered after that.
+func (a *Attempt) reportProgress(progress decision.AttemptProgress) {
+	a.reporting.Lock()
+	defer a.reporting.Unlock()
+	if a.endReported {
+		return
+	}
+	a.client.listener.AttemptProgressed(progress)
+}
+
+// endProgress has no progress reported from now on.
+func (a *Attempt) endProgress() {
+	a.reporting.Lock()
+	defer a.reporting.Unlock()
+	a.endReported = true
+}
+
 // proofViolation returns why a proof does not hold, or nil. It does not rely on the decisions that led to the proof.
 func (a *Attempt) proofViolation(proof EndProof) *invariant.Violation {
 	reason := ""
--- a/internal/upstream/attempt_poll.go
+++ b/internal/upstream/attempt_poll.go
@@ -87,7 +87,7 @@
 		status.progress.Statement = a.Statement
 		status.progress.Attempt = a.AttemptRequest.Attempt
 		status.progress.Engine = a.Engine
-		a.client.listener.AttemptProgressed(*status.progress)
+		a.reportProgress(*status.progress)
 	}
 	return attemptEnd{}, false, false
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -24,7 +24,7 @@
 // Listener is notified of what engines report. Its methods are called from many goroutines; they may block, but not
 // on a socket.
 type Listener interface {
-	// AttemptProgressed is called for each progress report of an attempt.
+	// AttemptProgressed is called for each progress report of an attempt, and not after AttemptEnded.
 	AttemptProgressed(decision.AttemptProgress)
 	// AttemptEnded is called once for each attempt; result is the complete result of a completed one. It is not called for one that is
 	// requested after Client.Run has ended the others.
