A connection is closed for another one by its reader, which knows what it has read

Symptom: a client's connection that counted as idle was closed in the moment in which its next statement was read, was being received, or its answer waited to be written: the statement had no answer. Cause: the server chose a connection, gave back its lock and closed it after a second look that asked only for open streams; what the reader had read and not handled is in no state that the server sees; the choice read idleSince without its lock (a data race). Change: the server asks the connection's reader to close it, by a flag and a read deadline that has passed; the reader closes it only where it has read nothing that is not handled, and after the whole look, both under the connection's lock.

--- a/internal/downstream/connection.go
+++ b/internal/downstream/connection.go
@@ -21,8 +21,10 @@
 	shutdown    <-chan struct{}   // closed when the server ends
 
 	acceptedAt  time.Time
-	framingLost atomic.Bool                 // nothing on it can be read any more
-	closeReason atomic.Pointer[closeReason] // nil while the connection is not known to end
+	framingLost atomic.Bool // nothing on it can be read any more
+	// evictionRequested: the reader is to close the connection for another one, if it is still idle.
+	evictionRequested atomic.Bool
+	closeReason       atomic.Pointer[closeReason] // nil while the connection is not known to end
 
 	mu             sync.Mutex
 	ended          bool // finish was called: nothing more is handled
--- a/internal/downstream/frame_reader.go
+++ b/internal/downstream/frame_reader.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"os"
 	"time"
 
 	"bankledge/internal/flowcontrol"
@@ -47,7 +48,7 @@
 // run handles frames until nothing more can be read, or nothing more is to be.
 func (r *frameReader) run() {
 	defer r.releaseMemory()
-	for r.handleBuffered() && r.delayInvalid() && r.reserveMemory() && r.awaitClient() && r.fill() {
+	for r.handleBuffered() && r.delayInvalid() && r.reserveMemory() && r.awaitClient() && r.checkEviction() && r.fill() {
 	}
 }
 
@@ -129,6 +130,11 @@
 	return true
 }
 
+// checkEviction ends the reading of a connection that is to be closed for another one, unless a part of a frame was read.
+func (r *frameReader) checkEviction() bool {
+	return !r.conn.evictIfRequested(len(r.buffer.Bytes()) > 0)
+}
+
 // fill reads once.
 func (r *frameReader) fill() bool {
 	idle := r.hasReadFrame && len(r.buffer.Bytes()) == 0
@@ -143,6 +149,9 @@
 		return true
 	}
 	if isTimeout(err) {
+		if r.conn.evictionRequested.Load() { // it ended the read
+			return true
+		}
 		if r.conn.hasOpenStreams() { // the connection stays open until they are answered
 			r.restartGrace()
 			return true
@@ -167,6 +176,9 @@
 func (r *frameReader) readBefore(deadline time.Time) (int, error) {
 	raw := r.conn.raw
 	raw.SetReadDeadline(deadline)
+	if r.conn.evictionRequested.Load() { // its deadline may have been replaced by this one
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := r.buffer.Fill(raw)
 	if n == 0 && isTimeout(err) && r.conn.unreadBytes() > 0 {
 		raw.SetReadDeadline(time.Now().Add(lateReadTimeout))
@@ -225,5 +237,8 @@
 		if c.clientClosed() { // even if input is still unread
 			return
 		}
+		if c.evictIfRequested(false) { // what is read here is discarded
+			return
+		}
 	}
 }
--- a/internal/downstream/idle_eviction.go
+++ b/internal/downstream/idle_eviction.go
@@ -19,24 +19,35 @@
 	evictMisbehaving                     // has sent an invalid frame
 )
 
-// evictOne closes the connection whose loss is least; among equals, the one that has been idle longest.
+// evictOne asks the connection whose loss is least to end; among equals, the one that has been idle longest.
 func (s *Server) evictOne() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var candidate *Conn
+	var candidateIdleSince time.Time
 	highest := notEvictable
 	for c := range s.connections {
-		rank := c.evictionRank()
-		if rank > highest || rank == highest && rank != notEvictable && c.idleSince.Before(candidate.idleSince) {
+		if c.evictionRequested.Load() { // its slot is about to be free
+			continue
+		}
+		rank, idleSince := c.evictionState()
+		if rank > highest || rank == highest && rank != notEvictable && idleSince.Before(candidateIdleSince) {
 			candidate = c
+			candidateIdleSince = idleSince
 			highest = rank
 		}
 	}
-	if candidate != nil && candidate.closeIfIdle() {
-		s.evicted++
+	if candidate != nil {
+		candidate.requestEviction()
 	}
 }
 
+func (s *Server) recordEviction() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evicted++
+}
+
 // Evicted returns the number of connections that were closed to free a slot for another one, since the start.
 func (s *Server) Evicted() int64 {
 	s.mu.Lock()
@@ -44,11 +55,42 @@
 	return s.evicted
 }
 
-// evictionRank is notEvictable for a connection with something open, whose client has not acknowledged its last answer yet, or
-// whose next statement may well be on its way.
+// requestEviction asks the reader to close the connection. It alone knows what it has read and not handled yet, so it alone may decide.
+func (c *Conn) requestEviction() {
+	c.evictionRequested.Store(true)
+	c.raw.SetReadDeadline(time.Now()) // ends a read that waits
+}
+
+// evictIfRequested closes the connection where that was requested and still loses nothing; hasInput reports whether the reader has input
+// that it did not handle yet. It returns whether it has closed the connection. Only the reader calls it.
+func (c *Conn) evictIfRequested(hasInput bool) (evicted bool) {
+	if !c.evictionRequested.Load() {
+		return false
+	}
+	if !hasInput && c.closeIfIdle() {
+		c.server.recordEviction()
+		return true
+	}
+	c.evictionRequested.Store(false)
+	return false
+}
+
+// evictionRank is the rank of evictionState.
 func (c *Conn) evictionRank() evictionRank {
+	rank, _ := c.evictionState()
+	return rank
+}
+
+// evictionState returns what closing the connection would lose, and since when no stream is open.
+func (c *Conn) evictionState() (rank evictionRank, idleSince time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.lockedEvictionRank(), c.idleSince
+}
+
+// lockedEvictionRank is notEvictable for a connection with something open, whose client has not acknowledged its last answer yet, or
+// whose next statement may well be on its way. The caller holds mu.
+func (c *Conn) lockedEvictionRank() evictionRank {
 	switch {
 	case c.ended || len(c.openStreams) > 0 || len(c.queue) > 0 || c.framesInWrite > 0:
 		return notEvictable
@@ -69,15 +111,15 @@
 	return evictIdle
 }
 
-// closeIfIdle closes a connection with nothing open, and returns whether it did: what arrives on it is not handled any more.
+// closeIfIdle closes a connection whose loss leaves no client without an answer, and returns whether it did: what arrives on it is not
+// handled any more.
 func (c *Conn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || len(c.openStreams) > 0 {
+	if c.lockedEvictionRank() == notEvictable {
 		return false
 	}
 	c.ended = true
-	c.setCloseReason(closeEvicted)
-	c.raw.Close()
+	c.closeBy(closeEvicted)
 	return true
 }
