The writer of a client's connection ends when a write fails

Cause: after a failed write the writer waited to be woken for the connection's end, wrote once for that and waited again; with more frames queued than one write may take nothing woke it again. Change: a failed write ends the writer, since nothing can be written any more; the reader ends the connection.

--- a/internal/downstream/answer_writer.go
+++ b/internal/downstream/answer_writer.go
@@ -132,7 +132,7 @@
 	batch  net.Buffers   // the frames' bytes; reused likewise
 }
 
-// writeFrames writes queued frames until the connection has ended and the queue is empty.
+// writeFrames writes queued frames until the connection has ended and the queue is empty, or nothing more can be written.
 func (c *Conn) writeFrames() {
 	writer := frameWriter{conn: c}
 	for range c.writeReady {
@@ -142,7 +142,8 @@
 	}
 }
 
-// flush writes until the queue is empty or a write fails. It returns false if the connection has ended and its client does not read.
+// flush writes until the queue is empty. It returns false if nothing more can be written: a write has failed, or the connection has ended
+// and its client does not read.
 func (w *frameWriter) flush() bool {
 	backoff := minFlushBackoff
 	for {
@@ -151,7 +152,7 @@
 		case len(w.frames) > 0:
 			backoff = minFlushBackoff
 			if !w.write() {
-				return true
+				return false
 			}
 		case !blocked:
 			return true
--- a/internal/downstream/closed_socket_test.go
+++ b/internal/downstream/closed_socket_test.go
@@ -76,3 +76,30 @@
 	listener.Close()
 	assert.False(t, AcceptPending(listener), "the kernel has refused those that waited")
 }
+
+// The queue of a connection that has ended is longer than one write may take, and its socket is closed: each write fails. The writer was
+// woken once for the end and wrote once for that; with frames left it then waited to be woken again, which nothing did. The connection kept
+// its slot, and a router that was told to end did not ("the program does not end" in TestSlowReaders).
+func TestWriterEndsWhenWritesFail(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	dial(t, listener.Addr().String())
+	raw, err := listener.Accept()
+	require.NoError(t, err)
+	server := newTestServer(nopHandler{}, 1<<20)
+	conn := newConn(server, raw, server.flow.OpenPeer("x"), time.Now())
+	for range 20 {
+		frame := make([]byte, 48<<10)
+		conn.forceQueue(len(frame))
+		conn.queue = append(conn.queue, queuedFrame{bytes: frame})
+	}
+	raw.Close()
+	conn.finish()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		conn.writeFrames()
+	}()
+	await(t, ended)
+}
