--- a/internal/adminclient/client_test.go
+++ b/internal/adminclient/client_test.go
@@ -61,6 +61,8 @@
 		{name: "busy", responses: []response{{503, "this process is busy, or ends\n"}, {200, `{"id":"a","number":7}`}}, number: 7, requests: 2},
 		{name: "rollout in progress", responses: []response{{409, `{"id":"a","number":0,"error":"version 6 is still spreading"}`}, {200, `{"id":"a","number":7}`}}, number: 7, requests: 2},
 		{name: "half a response", responses: []response{{200, `{"id":`}, {200, `{"id":"a","number":7}`}}, number: 7, requests: 2},
+		{name: "rollout in progress, by its code", responses: []response{{409, `{"id":"a","number":0,"error":"wait","code":"rollout_in_progress"}`}, {200, `{"id":"a","number":7}`}}, number: 7, requests: 2},
+		{name: "a text that holds the words", responses: []response{{409, `{"id":"a","number":0,"error":"rules: json: unknown field \"still spreading\""}`}}, requests: 1, message: `rules: json: unknown field "still spreading"`},
 		{name: "guard", responses: []response{{409, `{"id":"a","number":0,"error":"no engine is active"}`}}, requests: 1, message: "no engine is active"},
 		{name: "bad request", responses: []response{{400, "unexpected EOF\n"}}, requests: 1, message: "unexpected EOF"},
 	} {
--- /dev/null
+++ b/policy/timer_memory_test.go
@@ -0,0 +1,40 @@
+package policy
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"bankledge/decision"
+)
+
+// Clients that send and cancel at once, with the longest timeout: each statement left its deadline's timer, and with the timer itself, until
+// the deadline. A client chooses how many there are.
+func TestCancelledStatementsAreReleased(t *testing.T) {
+	const statements = 100_000
+	const maxBytesEach = 40 // far below a statement's own size
+	h := newHarness(t)
+	h.at(0, ready("a"))
+	used := func() int64 {
+		runtime.GC()
+		var memory runtime.MemStats
+		runtime.ReadMemStats(&memory)
+		return int64(memory.HeapAlloc)
+	}
+	before := used()
+	now := time.Duration(0)
+	for i := range statements {
+		now += 10 * time.Microsecond
+		id := decision.StatementID(fmt.Sprintf("%016x", i))
+		h.at(now, write(id))
+		h.at(now, decision.ClientCancelled{Statement: id}, end(id, 0, "a", decision.Cancelled))
+	}
+	assert.Empty(t, h.module.statements)
+	grown := used() - before
+	assert.Less(t, grown, int64(statements*maxBytesEach))
+	t.Logf("%d bytes more for each of %d statements", grown/statements, statements)
+	runtime.KeepAlive(h)
+}
