A parameter behind a schema leaves the schema its table group

Symptom: sales_3.$1 and sales_3.:t gave no table group, so such a statement was placed by none, and rules for its group did not apply to it. Cause: the literal that stands for a parameter cleared the name before it, and ended the table's name, before the schema was noted. Change: the schema is noted, and the parameter counted as the table's last component, before the literal is added. One function does both at its two places.

--- a/internal/sqltext/scanner.go
+++ b/internal/sqltext/scanner.go
@@ -222,7 +222,6 @@
 	}
 	for i++; i < len(text) && isNameByte(text[i]); i++ {
 	}
-	a.addLiteral()
 	a.addParameter()
 	return i
 }
@@ -327,7 +326,6 @@
 	if isTable {
 		a.addQuotedName(text[start:i], mark)
 	} else {
-		a.addLiteral()
 		a.addParameter()
 	}
 	return i
--- a/internal/sqltext/tokens.go
+++ b/internal/sqltext/tokens.go
@@ -93,11 +93,18 @@
 	a.signBefore = false
 }
 
-// addParameter follows the protocol's reading of schemas, for which a parameter is a name.
+// addParameter adds a literal. It follows the protocol's reading of schemas, for which a parameter is a name; the literal clears the name
+// before it, which may be a schema's.
 func (a *Analyser) addParameter() {
 	if a.isQualifier && !a.isQualified {
 		a.noteSchema()
 	}
+	if a.last == tokenDot && a.inTableName { // the table itself is named by the parameter
+		a.tableComponents++
+		a.schemaStart = a.componentStart
+		a.schemaEnd = a.componentEnd
+	}
+	a.addLiteral()
 	a.isQualifier = false
 	a.isQualified = false
 }
