A router's message is cut between two characters, so that its renewals stay valid

Symptom: a message of over 200 bytes was cut inside a character. Encoded as JSON the rest of the character becomes U+FFFD, the message comes to 202 or 204 bytes, and the group refuses every renewal that holds it: the router's lease ends while both are well. Cause: the cut counted bytes. Change: the cut goes back to the start of a character. Measured: TestLongMessageIsCutBetweenCharacters fails without the change and passes with it.

--- a/internal/lease/client.go
+++ b/internal/lease/client.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"bankledge/internal/configversion"
 	"bankledge/internal/detrand"
@@ -125,11 +126,21 @@
 
 // report logs a message for operators and sends it to the group with the next renewal. A repeated message is not logged again.
 func (c *Client) report(text string) []ClientAction {
-	text = strings.ToValidUTF8(text, "?")
-	text = text[:min(len(text), maxTextBytes)]
+	text = truncate(strings.ToValidUTF8(text, "?"), maxTextBytes)
 	if text == c.lastMessage {
 		return nil
 	}
 	c.lastMessage = text
 	return []ClientAction{LogMessage{text}}
 }
+
+// truncate returns the longest prefix of valid UTF-8 that has at most so many bytes and ends between two characters.
+func truncate(text string, maxBytes int) string {
+	if len(text) <= maxBytes {
+		return text
+	}
+	for maxBytes > 0 && !utf8.RuneStart(text[maxBytes]) {
+		maxBytes--
+	}
+	return text[:maxBytes]
+}
