Settings that no version can hold give valid rules, also with more routers than a version counts

Symptom: with 2,000,000 routers in the settings a router's own rules were not valid, and it compared versions with them. Cause: the most cautious rules took the number of routers as it was, and the error of their validation was dropped. Change: the number is kept within the bounds of a version; the error, which cannot come any more, is a programming error.

--- a/internal/proxy/active_rules.go
+++ b/internal/proxy/active_rules.go
@@ -52,13 +52,21 @@
 	for _, quota := range moduleSettings.Quotas.Tenants {
 		own.TenantQuotas[string(quota.Tenant)] = quota.RatePerSecond
 	}
-	if own.Validate() != nil { // settings that are not valid as a version: the most cautious rules, for this router only
-		own = &rules.Rules{Routers: max(1, moduleSettings.Identity.Routers)}
-		own.Validate()
+	if own.Validate() != nil { // settings that are not valid as a version
+		return mostCautiousRules(moduleSettings.Identity.Routers)
 	}
 	return own
 }
 
+// mostCautiousRules returns valid rules that permit nothing but what every version permits, for one of so many routers.
+func mostCautiousRules(routers int) *rules.Rules {
+	cautious := &rules.Rules{Routers: min(max(1, routers), rules.MaxRouters)}
+	if err := cautious.Validate(); err != nil { // its one field is within its bounds, so this is a programming error
+		panic(err)
+	}
+	return cautious
+}
+
 // rulesChanged is the event that hands the active rules to the module. The settings apply where the version sets nothing.
 func (c *configurationLease) rulesChanged() decision.RulesChanged {
 	active := c.activeRules
--- a/internal/rules/fields.go
+++ b/internal/rules/fields.go
@@ -135,8 +135,11 @@
 	}
 }
 
+// MaxRouters is the largest value of Rules.Routers.
+const MaxRouters = 1_000_000
+
 func checkRouters(r *Rules) error {
-	if r.Routers < 1 || r.Routers > 1e6 {
+	if r.Routers < 1 || r.Routers > MaxRouters {
 		return fmt.Errorf("%d is not from 1 to 1,000,000", r.Routers)
 	}
 	return nil
