The outcome of a proposal that has to wait has a code, and the operators' client goes by it

Symptom: the client retried, for as long as it was given, any rejected proposal whose error held the words 'still spreading', such as an unknown field of that name. Cause: the client searched the error's text. Change: the outcome has the code rollout_in_progress; from a group that knows no codes the whole text 'version N is still spreading' counts. Outcomes with the code are not stored. Measured: the two cases of TestPropose fail without the change (one after 10 s of retries) and pass with it, as does the old case without a code.

--- a/internal/adminclient/errors.go
+++ b/internal/adminclient/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"regexp"
 	"strings"
 
 	"bankledge/internal/configregister"
@@ -29,12 +30,15 @@
 // Unwrap returns the cause, if it is known.
 func (e *RejectedError) Unwrap() error { return e.Cause }
 
-// outcomeError returns the error of an outcome, which is sent as text only; nil on success.
+// rolloutText is the error of a proposal that has to wait, as a group sends it that knows no codes yet.
+var rolloutText = regexp.MustCompile(`^version [0-9]+ is still spreading$`)
+
+// outcomeError returns the error of an outcome; nil on success.
 func outcomeError(outcome configregister.Outcome) error {
 	switch {
 	case outcome.Error == "":
 		return nil
-	case strings.Contains(outcome.Error, configregister.ErrRolloutInProgress.Error()):
+	case outcome.Code == configregister.CodeRolloutInProgress || rolloutText.MatchString(outcome.Error):
 		return &RejectedError{Message: outcome.Error, Cause: configregister.ErrRolloutInProgress}
 	default:
 		return &RejectedError{Message: outcome.Error}
--- a/internal/configregister/entry.go
+++ b/internal/configregister/entry.go
@@ -36,4 +36,8 @@
 	ID     string `json:"id"`              // of the proposal
 	Number uint64 `json:"number"`          // of the version that was created
 	Error  string `json:"error,omitempty"` // why no version was created; empty on success
+	Code   string `json:"code,omitempty"`  // CodeRolloutInProgress, or empty
 }
+
+// CodeRolloutInProgress is the code of an outcome whose proposal may be repeated once the version before it is activated.
+const CodeRolloutInProgress = "rollout_in_progress"
--- a/internal/configregister/register.go
+++ b/internal/configregister/register.go
@@ -35,8 +35,8 @@
 )
 
 var (
-	// ErrRolloutInProgress reports that a proposal has to wait until the version before it is activated. Clients of the control
-	// group recognize its text.
+	// ErrRolloutInProgress reports that a proposal has to wait until the version before it is activated. Outcomes hold it as
+	// CodeRolloutInProgress.
 	ErrRolloutInProgress = errors.New("still spreading")
 
 	errNotFounded = errors.New("the group is not founded yet")
@@ -132,6 +132,7 @@
 		r.commit(v)
 	}
 	if errors.Is(err, ErrRolloutInProgress) {
+		outcome.Code = CodeRolloutInProgress
 		return outcome // not recorded: the same proposal may be written again later
 	}
 	r.Outcomes = append(r.Outcomes, outcome)
