Bodies and files hold one JSON value and nothing behind it; a bad key is named in the error

Symptom: proposals, renewals, membership changes, versions and control files were taken with anything behind the value. An empty or overlong key in kinds or kept_off was answered with a text that ends in %!w(<nil>). Cause: three of five decoders did not look for the end; checkLists wrapped the nil error of the list under a bad key. Change: internal/strictjson decodes for all that operators, peers and routers send; the key is checked by itself.

--- a/internal/configversion/version.go
+++ b/internal/configversion/version.go
@@ -4,7 +4,6 @@
 package configversion
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -15,6 +14,7 @@
 
 	"bankledge/internal/jsonerror"
 	"bankledge/internal/rules"
+	"bankledge/internal/strictjson"
 )
 
 // Version is one numbered configuration. It is immutable once it has its number.
@@ -89,10 +89,8 @@
 	if len(raw) > MaxEncodedBytes {
 		return nil, fmt.Errorf("version: %d bytes, over %d", len(raw), MaxEncodedBytes)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
 	v := new(Version)
-	if err := decoder.Decode(v); err != nil {
+	if err := strictjson.Decode(raw, v); err != nil {
 		return nil, fmt.Errorf("version: %w", jsonerror.WithPublishedNames(err, publishedNames))
 	}
 	if err := v.checkFields(); err != nil {
--- a/internal/controlclient/config.go
+++ b/internal/controlclient/config.go
@@ -1,8 +1,6 @@
 package controlclient
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -13,6 +11,7 @@
 	"bankledge/internal/jsonerror"
 	"bankledge/internal/lease"
 	"bankledge/internal/settings"
+	"bankledge/internal/strictjson"
 )
 
 const (
@@ -43,10 +42,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("control: %w", err)
 	}
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
 	config := new(Config)
-	if err := decoder.Decode(config); err != nil {
+	if err := strictjson.Decode(raw, config); err != nil {
 		return nil, fmt.Errorf("control: %w", jsonerror.WithPublishedNames(err, publishedNames))
 	}
 	if err := config.Validate(); err != nil {
--- a/internal/controlclient/config_test.go
+++ b/internal/controlclient/config_test.go
@@ -16,6 +16,7 @@
 		``:                                        "control: EOF",
 		`{`:                                       "control: unexpected EOF",
 		`{"unknown": 1}`:                          `control: json: unknown field "unknown"`,
+		`{` + addresses + `} {}`:                  "control: something stands behind it",
 		`{}`:                                      "control: addresses: 0, not from 1 to 16",
 		`{"addresses": ["x"]}`:                    `control: addresses: "x" is not an address with a port`,
 		`{"addresses": ["[::1]:x"]}`:              `control: addresses: "[::1]:x" is not an address with a port`,
--- a/internal/controlserver/http.go
+++ b/internal/controlserver/http.go
@@ -1,7 +1,6 @@
 package controlserver
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,6 +14,7 @@
 
 	"bankledge/internal/controlapi"
 	"bankledge/internal/jsonerror"
+	"bankledge/internal/strictjson"
 )
 
 const (
@@ -72,7 +72,8 @@
 	}
 }
 
-// readJSON reads the body of a request, which may have up to maxBytes. A field that is not known is an error.
+// readJSON reads the body of a request, which may have up to maxBytes. A field that is not known is an error, as is anything
+// behind the value.
 func readJSON(w http.ResponseWriter, r *http.Request, maxBytes int64, into any) error {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
 	if err != nil {
@@ -92,11 +93,9 @@
 	"field Config.", "field File.",
 )
 
-// decodeStrict decodes JSON. A field that is not known is an error.
+// decodeStrict decodes one JSON value. A field that is not known is an error, as is anything behind the value.
 func decodeStrict(raw []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	return jsonerror.WithPublishedNames(decoder.Decode(into), publishedNames)
+	return jsonerror.WithPublishedNames(strictjson.Decode(raw, into), publishedNames)
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -13,6 +13,8 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+
+	"bankledge/internal/strictjson"
 )
 
 // Rules are the fleet-wide rules and lists. A name that a map does not hold is handled as each router's local settings say, unless the
@@ -152,7 +154,7 @@
 // Parse reads rules from JSON and validates them. An unknown field is an error: it would be a rule that no router follows.
 func Parse(raw []byte) (*Rules, error) {
 	r := new(Rules)
-	if err := decodeStrict(raw, r); err != nil {
+	if err := strictjson.Decode(raw, r); err != nil {
 		return nil, fmt.Errorf("rules: %w", err)
 	}
 	return r, r.Validate()
--- a/internal/rules/validation.go
+++ b/internal/rules/validation.go
@@ -1,11 +1,7 @@
 package rules
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"slices"
 )
@@ -18,8 +14,6 @@
 	maxMillis    = 24 * 3600 * 1000 // one day: the longest duration, in milliseconds
 )
 
-var errTrailingData = errors.New("something stands behind it")
-
 func validName(name string) bool { return name != "" && len(name) <= maxNameBytes }
 
 // checkAmount also refuses NaN, which is not within any bounds.
@@ -54,8 +48,10 @@
 func checkLists(lists map[string][]string) error {
 	listed := 0
 	for _, key := range slices.Sorted(maps.Keys(lists)) {
-		// Known fault, kept as it is: for a bad key with a good list err is nil, and the text ends in "%!w(<nil>)".
-		if err := checkNames(lists[key]); err != nil || !validName(key) {
+		if !validName(key) {
+			return fmt.Errorf("%q is no name", key)
+		}
+		if err := checkNames(lists[key]); err != nil {
 			return fmt.Errorf("%q: %w", key, err)
 		}
 		listed += len(lists[key])
@@ -65,16 +61,3 @@
 	}
 	return nil
 }
-
-// decodeStrict reads exactly one JSON value, without unknown fields.
-func decodeStrict(raw []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return err
-	}
-	if _, err := decoder.Token(); err != io.EOF {
-		return errTrailingData
-	}
-	return nil
-}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -40,7 +40,7 @@
 	pool        *connectionPool
 	lifetime    context.Context // ends the attempts
 	clockOrigin time.Time       // of every sharedTime; has a monotonic reading
-	tasks       taskGroup // attempts, cancellations and health checks
+	tasks       taskGroup       // attempts, cancellations and health checks
 
 	// Violations counts attempt ends whose proof did not hold.
 	Violations *invariant.Recorder
