--- a/cmd/bankledge-faultlab/main_test.go
+++ b/cmd/bankledge-faultlab/main_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -144,11 +145,31 @@
 	}
 }
 
+// Shutdowns as operators begin them, beside the faults of a soak: what was read in time has its answer, also at the kill.
+func TestShutdownSoaks(t *testing.T) {
+	n := plays(t)
+	defer goleak.VerifyNone(t)
+	program := routerProgram(t)
+	for seed := range uint64(n + 1) {
+		s := faultlab.GenerateShutdownSoakSchedule(1+seed, 12)
+		t.Run(s.Name, func(t *testing.T) {
+			h, err := faultlab.Play(context.Background(), s, faultlab.Options{RouterProgram: program})
+			require.NoError(t, err)
+			assert.Greater(t, faultlab.Measure(h).InTime, 0.2)
+			for _, b := range faultlab.Audit(h) {
+				if faultlab.IsInvariant(b.Auditor) {
+					t.Errorf("%s, at %v: %s", b.Auditor, b.At, b.Text)
+				}
+			}
+		})
+	}
+}
+
 // Each guard that can be taken off stands once in the source, and the router builds without it.
 func TestMutantsBuild(t *testing.T) {
 	plays(t)
 	t.Chdir("../..")
-	for _, m := range mutants {
+	for _, m := range slices.Concat(mutants, shutdownMutants) {
 		_, remove, err := m.build()
 		if assert.NoError(t, err, m.name) {
 			remove()
--- a/cmd/bankledge-faultlab/mutants_cmd.go
+++ b/cmd/bankledge-faultlab/mutants_cmd.go
@@ -21,7 +21,7 @@
 	ctx, cancel := interrupted()
 	defer cancel()
 	missed := 0
-	for _, m := range mutants {
+	for _, m := range slices.Concat(mutants, shutdownMutants) {
 		if !c.isSelected(m) {
 			continue
 		}
@@ -86,6 +86,9 @@
 		s.PatienceFactor = mutantPatience
 		s.CancelShare = mutantCancelShare
 	}
+	if m.adjust != nil {
+		m.adjust(s)
+	}
 	return s
 }
 
--- a/cmd/bankledge-faultlab/mutants_test.go
+++ b/cmd/bankledge-faultlab/mutants_test.go
@@ -3,6 +3,7 @@
 import (
 	"go/parser"
 	"go/token"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -13,7 +14,7 @@
 // This is seen here without a build; TestMutantsBuild builds them.
 func TestMutantEditsApply(t *testing.T) {
 	t.Chdir("../..")
-	for _, m := range mutants {
+	for _, m := range slices.Concat(mutants, shutdownMutants) {
 		assertEditsApply(t, m.name, m.edits)
 	}
 	for _, m := range termMutants {
--- a/cmd/bankledge-faultlab/soak_cmd.go
+++ b/cmd/bankledge-faultlab/soak_cmd.go
@@ -12,6 +12,7 @@
 	From    uint64  `default:"1" help:"First seed."`
 	Count   uint64  `default:"10" help:"Number of schedules."`
 	Seconds float64 `default:"20" help:"Length of each."`
+	Plain   bool    `help:"Without shutdowns as operators begin them, short deadlines and crowds: the schedules that seeds gave before there were these."`
 }
 
 // Run plays soaks one after the other. What depends on the machine's speed is not judged.
@@ -25,7 +26,11 @@
 	defer remove()
 	var outcomes []faultlab.Outcome
 	for seed := s.From; seed < s.From+s.Count; seed++ {
-		o, err := s.play(ctx, program, "soak", faultlab.GenerateSoakSchedule(seed, s.Seconds))
+		schedule := faultlab.GenerateShutdownSoakSchedule(seed, s.Seconds)
+		if s.Plain {
+			schedule = faultlab.GenerateSoakSchedule(seed, s.Seconds)
+		}
+		o, err := s.play(ctx, program, "soak", schedule)
 		if err != nil {
 			return err
 		}
--- a/internal/fakes/client.go
+++ b/internal/fakes/client.go
@@ -17,13 +17,15 @@
 type Answer struct {
 	Code downstream.Code
 	Body string
-	Took time.Duration
-	Err  error // the connection ended first, or the statement could not be sent; the code is not set
+	Took time.Duration // since the statement was sent; 0: it was not
+	Err  error         // the connection ended first, or the statement could not be sent; the code is not set
 }
 
 // Client is a connection that has many statements open at once.
 type Client struct {
 	OnDuplicate func(stream uint32) // called for a second answer; nil: nobody listens
+	// UseWhileDraining has the connection not count as ended when the router takes no new statements. It is set before the first one.
+	UseWhileDraining bool
 
 	conn  net.Conn
 	ended chan struct{}
@@ -68,7 +70,7 @@
 func (c *Client) Ended() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.err != nil || c.goingAway
+	return c.err != nil || c.goingAway && !c.UseWhileDraining
 }
 
 func (c *Client) read() {
@@ -154,6 +156,9 @@
 	return c.stream, r.answer
 }
 
+// ReadinessQuery returns the frame that asks whether the router is ready.
+func ReadinessQuery() []byte { return Frame(frameReady, 1, "\x00") }
+
 // AwaitReady asks the router until it is ready. The error is that of the connection, or that the patience is over.
 func (c *Client) AwaitReady(patience time.Duration) error {
 	for began := time.Now(); time.Since(began) < patience; time.Sleep(readyPoll) {
--- a/internal/faultlab/audit.go
+++ b/internal/faultlab/audit.go
@@ -87,6 +87,46 @@
 	return outages
 }
 
+// crossingSlack is how long after it was written a statement may be lost with a connection that the router closes: it crosses the close
+// within 50 ms, and all processes share one machine.
+const crossingSlack = 250 * time.Millisecond
+
+// isLossExcused reports whether no router can answer for a statement that was answered late or lost. end is its last event.
+func isLossExcused(outages []outage, sent, end Event) bool {
+	return slices.ContainsFunc(outages, func(o outage) bool {
+		if o.cause == downTerminated {
+			return sent.At < o.to+startupSlack && isLossAtShutdownExcused(o, end)
+		}
+		return sent.At < o.to+startupSlack && end.At > o.from-startupSlack
+	})
+}
+
+// isLossAtShutdownExcused reports whether a statement was lost in a way that a router that was told to end cannot prevent: it could not be
+// sent any more, or it was written when requests had no longer to be expected, and crossed the close.
+func isLossAtShutdownExcused(o outage, end Event) bool {
+	if end.Kind != ClientConnectionLost {
+		return false
+	}
+	if end.Took == 0 {
+		return end.At > o.from+terminateWindow
+	}
+	written := end.At - end.Took
+	return written > o.from+requestWindow && end.Took <= crossingSlack
+}
+
+// isCrowdExcused reports whether a statement was lost on a connection of a router whose descriptors idle clients fill: one that is new may
+// be closed unread, and one that is idle may be closed as the statement crosses the close.
+func isCrowdExcused(s *Schedule, router int, end Event) bool {
+	if end.Kind != ClientConnectionLost || end.Took > crossingSlack {
+		return false
+	}
+	return slices.ContainsFunc(s.Faults, func(f Fault) bool {
+		from := seconds(f.At)
+		to := seconds(f.At+f.For) + startupSlack
+		return f.Kind == faultIdleClients && slices.Contains(f.Routers, router) && end.At > from && end.At < to
+	})
+}
+
 // isExcused reports whether a statement's router was away while it was open, in a way that no router can answer for.
 func isExcused(outages []outage, sent, end time.Duration) bool {
 	return slices.ContainsFunc(outages, func(o outage) bool {
--- a/internal/faultlab/audit_answers.go
+++ b/internal/faultlab/audit_answers.go
@@ -27,7 +27,7 @@
 		case StatementAnswered, ClientConnectionLost:
 			s := sent[e.Statement]
 			finished[e.Statement] = true
-			if isExcused(outages[s.Router], s.At, e.At) {
+			if isLossExcused(outages[s.Router], s, e) || isCrowdExcused(h.Schedule, s.Router, e) {
 				continue
 			}
 			late := e.At - s.At - s.Budget
--- a/internal/faultlab/audit_test.go
+++ b/internal/faultlab/audit_test.go
@@ -22,6 +22,11 @@
 	on := func(engine string, e Event) Event { e.Engine = engine; return e }
 	answered := with(StatementAnswered, sent)
 	down := func(when time.Duration, kind string) Event { return Event{At: when, Kind: RouterDown, Text: kind} }
+	lost := func(when, took time.Duration) Event {
+		e := at(when, with(ClientConnectionLost, sent))
+		e.Took = took
+		return e
+	}
 	up := func(when time.Duration) Event { return Event{At: when, Kind: RouterUp} }
 	for _, c := range []struct {
 		name, auditor string
@@ -37,6 +42,13 @@
 		{"the same long after it came back", "answers", []Event{down(0, "kill"), up(sec / 2), at(5*sec, sent), at(6*sec, with(ClientConnectionLost, sent))}, true},
 		{"taken before SIGTERM and lost", "answers", []Event{sent, down(sec+sec/2, "term"), at(2*sec, with(ClientConnectionLost, sent))}, true},
 		{"sent long after SIGTERM and lost", "answers", []Event{down(0, "term"), at(sec, sent), at(2*sec, with(ClientConnectionLost, sent))}, false},
+		{"written before SIGTERM and lost at the kill", "answers", []Event{sent, down(sec+sec/2, "term"), lost(4*sec, 3*sec)}, true},
+		{"written as long as requests come and lost at the kill", "answers", []Event{down(sec/2, "term"), sent, lost(3*sec, 2*sec)}, true},
+		{"written after that, and it crossed the close", "answers", []Event{down(0, "term"), sent, lost(sec+sec/10, sec/10)}, false},
+		{"written after that, read and lost", "answers", []Event{down(0, "term"), sent, lost(2*sec, sec)}, true},
+		{"answered late after SIGTERM", "answers", []Event{sent, down(2*sec, "term"), at(4*sec, answered)}, true},
+		{"it could not be sent any more", "answers", []Event{down(0, "term"), sent, lost(sec, 0)}, false},
+		{"it could not be sent though new connections come", "answers", []Event{down(sec/2, "term"), sent, lost(sec, 0)}, true},
 		{"late at a router that was stopped", "answers", []Event{sent, down(2*sec, "stop"), up(4 * sec), at(4*sec, answered)}, false},
 		{"a load once", "once", []Event{load}, false},
 		{"a load twice", "once", []Event{load, at(9*sec, on("e2", load))}, true},
--- a/internal/faultlab/fault_kind.go
+++ b/internal/faultlab/fault_kind.go
@@ -14,6 +14,8 @@
 	faultStopRouters       FaultKind = "stop"
 	faultTerminateRouters  FaultKind = "term"
 	faultReloadRouters     FaultKind = "reload"
+	faultRetireRouters     FaultKind = "retire"
+	faultIdleClients       FaultKind = "crowd"
 	faultReplaceEngines    FaultKind = "replace"
 	faultLoseEngines       FaultKind = "lose"
 	faultSlowEngines       FaultKind = "crawl"
@@ -74,6 +76,8 @@
 	faultFailAccept:        {routers: true, amount: true, lasting: true, help: "one in so many of routers' calls to accept fails: ECONNABORTED, EMFILE, ENFILE or ENOBUFS"},
 	faultFailConnect:       {routers: true, amount: true, lasting: true, help: "one in so many of routers' calls to connect fails: EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH or ETIMEDOUT"},
 	faultFailSocket:        {routers: true, amount: true, lasting: true, help: "one in so many of routers' calls to socket fails: EMFILE, ENFILE or ENOBUFS"},
+	faultRetireRouters:     {routers: true, amount: true, help: "routers end by a series of so many signals, SIGTERM first, are killed as soon as the protocol allows, and started again at once"},
+	faultIdleClients:       {routers: true, amount: true, maxAmount: 1000, lasting: true, help: "so many idle clients rest on connections of each router"},
 	faultReloadRouters:     {routers: true, help: "routers read their configuration again (SIGHUP)"},
 }
 
--- a/internal/faultlab/faults.go
+++ b/internal/faultlab/faults.go
@@ -59,6 +59,10 @@
 		return restart, f.eachRouter(fault, (*router).kill)
 	case faultTerminateRouters:
 		return restart, f.eachRouter(fault, (*router).terminate)
+	case faultRetireRouters:
+		return nil, f.eachRouter(fault, func(r *router) error { return r.retire(ctx, int(fault.Amount)) })
+	case faultIdleClients:
+		return f.crowd(ctx, fault), nil
 	case faultReloadRouters:
 		return nil, f.eachRouter(fault, func(r *router) error { return r.signal(syscall.SIGHUP) })
 	case faultStopRouters:
--- a/internal/faultlab/fleet.go
+++ b/internal/faultlab/fleet.go
@@ -123,12 +123,7 @@
 }
 
 // allRouters returns the indexes of all routers.
-func (f *fleet) allRouters() (indexes []int) {
-	for i := range f.schedule.Routers {
-		indexes = append(indexes, i)
-	}
-	return indexes
-}
+func (f *fleet) allRouters() []int { return f.schedule.allRouters() }
 
 // publish has the control feeds of all routers publish the state of engines.
 func (f *fleet) publish(engines []*engine, state string) {
--- a/internal/faultlab/generate.go
+++ b/internal/faultlab/generate.go
@@ -13,6 +13,8 @@
 	scheduleStream = 28
 	groupStream    = 30
 	soakStream     = 39
+
+	shutdownSoakStream = 49
 )
 
 // drawnFaults are the kinds of faults that GenerateSchedule draws.
--- a/internal/faultlab/history.go
+++ b/internal/faultlab/history.go
@@ -24,6 +24,7 @@
 	Work      float64       `json:"work,omitempty"`    // of a statement or an attempt: seconds on one thread
 	ColdLoad  float64       `json:"of,omitempty"`      // of an attempt: work sent in the window over what a cold engine bears
 	Budget    time.Duration `json:"budget,omitempty"`  // of a sent statement: how long its client waits
+	Took      time.Duration `json:"took,omitempty"`    // of an answer or a lost connection: since the statement was written; 0: it was not
 	Retry     int           `json:"try,omitempty"`     // of a sent statement: how many times it was rejected before
 	Text      string        `json:"text,omitempty"`    // see the kind
 	Version   uint64        `json:"version,omitempty"` // of rules applied: the pending version; of a proposal: its number
--- a/internal/faultlab/router.go
+++ b/internal/faultlab/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -33,6 +34,7 @@
 	mu          sync.Mutex
 	engineLinks map[string]*Link // by id of the engine
 	process     *process         // nil before the first start
+	address     string           // where the process listens
 	starts      int
 	clients     []*fakes.Client
 	inFlight    map[*fakes.Client]int // statements of each connection
@@ -136,6 +138,14 @@
 		return err
 	}
 	r.clientLink.SetTarget(address)
+	r.mu.Lock()
+	r.address = address
+	r.mu.Unlock()
+	if start > 1 && r.fleet.schedule.EarlyReloads {
+		if err := started.reloadBeforeReady(); err != nil {
+			return err
+		}
+	}
 	if err := r.awaitReady(); err != nil {
 		return err
 	}
@@ -185,7 +195,7 @@
 	events, last := r.feed.published()
 	seed := r.fleet.schedule.Seed*1000 + uint64(r.index*20+start)
 	config := fmt.Appendf(nil, `{"name":"r%d","listen":"127.0.0.1:0","seed":"%016x","feed":%q,"limits":{"cores":1,"memory_mb":%d,"sockets":%d},
-		"known":{"n":%d,"events":[%s]},"settings":%s}`, r.index, seed, r.feedLink.Address(), routerMemoryMB, routerSockets,
+		"known":{"n":%d,"events":[%s]},"settings":%s}`, r.index, seed, r.feedLink.Address(), routerMemoryMB, cmp.Or(r.fleet.schedule.Descriptors, routerSockets),
 		last, events, fleetSettings(r.fleet.schedule, r.index))
 	path = filepath.Join(r.fleet.dir, fmt.Sprintf("router-%d.json", r.index))
 	return path, os.WriteFile(path, config, 0o600)
--- a/internal/faultlab/router_client.go
+++ b/internal/faultlab/router_client.go
@@ -37,7 +37,7 @@
 		c.Cancel(stream)
 		return fakes.Answer{Err: errClientLeft}
 	case <-time.After(within):
-		return fakes.Answer{Err: errNoAnswer}
+		return fakes.Answer{Err: errNoAnswer, Took: within}
 	case <-ctx.Done():
 		return fakes.Answer{Err: ctx.Err()}
 	}
@@ -63,6 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.UseWhileDraining = r.fleet.schedule.UseWhileDraining
 	c.OnDuplicate = func(uint32) { r.fleet.record(Event{Kind: DuplicateAnswer, Router: r.index}) }
 	r.clients = append(r.clients, c)
 	r.inFlight[c] = 1
--- a/internal/faultlab/schedule.go
+++ b/internal/faultlab/schedule.go
@@ -41,6 +41,10 @@
 	ControlMembers    int     `json:"control"`  // processes of the control group; 0: there is none
 	VersionInterval   float64 `json:"every"`    // mean seconds between two proposed versions
 	Faults            []Fault `json:"faults"`
+
+	UseWhileDraining bool `json:"use_draining,omitempty"`  // clients send on connections on which a router has asked for nothing new
+	Descriptors      int  `json:"descriptors,omitempty"`   // a router's limit; 0: as usual
+	EarlyReloads     bool `json:"early_reloads,omitempty"` // a router that is started again is sent SIGHUP twice before it is ready
 }
 
 // Fault is one fault of a schedule.
@@ -91,6 +95,7 @@
 		{"leavers", s.CancelShare, 0, 1},
 		{"work", s.WorkFactor, 0, 100},
 		{"patience", s.PatienceFactor, 0, 10},
+		{"descriptors", float64(s.Descriptors), 0, 1e5},
 	} {
 		if !isBetween(field.value, field.min, field.max) {
 			return fmt.Errorf("%s: %v is not from %v to %v", field.name, field.value, field.min, field.max)
--- a/internal/faultlab/schedule_test.go
+++ b/internal/faultlab/schedule_test.go
@@ -60,7 +60,10 @@
 		soak := GenerateSoakSchedule(seed, 12)
 		require.NoError(t, soak.Validate())
 		require.Equal(t, soak, GenerateSoakSchedule(seed, 12))
-		for _, f := range slices.Concat(s.Faults, g.Faults, soak.Faults) {
+		shutdowns := GenerateShutdownSoakSchedule(seed, 12)
+		require.NoError(t, shutdowns.Validate())
+		require.Equal(t, shutdowns, GenerateShutdownSoakSchedule(seed, 12))
+		for _, f := range slices.Concat(s.Faults, g.Faults, soak.Faults, shutdowns.Faults) {
 			seen[f.Kind] = true
 		}
 	}
--- a/internal/faultlab/traffic.go
+++ b/internal/faultlab/traffic.go
@@ -163,6 +163,7 @@
 			Workload:  c.workload.name,
 			Router:    c.router,
 			Code:      byte(answer.Code),
+			Took:      answer.Took,
 		}
 		if errors.Is(answer.Err, errClientLeft) {
 			outcome.Kind = ClientLeft
