The rejection after a shutdown's grace moves to the event loop

The module's test gives way to one of a real process, which is stricter: statements on an open connection until the process has ended, of which only those may be lost that cross the close within 50 ms.

--- a/cmd/bankledge/shutdown_test.go
+++ b/cmd/bankledge/shutdown_test.go
@@ -243,3 +243,41 @@
 	assert.Equal(t, codeRejected, c.readAnswer().code, "it never ran")
 	r.awaitEnd(t)
 }
+
+// Clients go on sending until the process has ended. At the end of a shutdown's grace all that is open is ended; what arrived after that was
+// started like any other and lost with the process (soak seed 7: read 3.5 s after SIGTERM, started at once, and closed with no answer 0.1 s
+// later). Only what crosses the close may be lost.
+func TestStatementsUntilTheEndOfAShutdown(t *testing.T) {
+	const (
+		crossing    = 50 * time.Millisecond
+		nearlyEnded = 3200 * time.Millisecond // then they come often: a connection may have 32 open before
+	)
+	never := make(chan struct{})
+	e := newEngine(t, "one", map[string][]step{"POST": {says(202, "")}, "GET 0": {after(never, done("late\n"))}})
+	r := startRouter(t, patientConfig(newControl(t), e))
+	go func() { // it is heard thousands of times
+		for range e.Calls() {
+		}
+	}()
+	c, err := fakes.Dial(r.address)
+	require.NoError(t, err)
+	defer c.Close()
+	c.UseWhileDraining = true
+	var answers []<-chan fakes.Answer
+	r.stop(t)
+	for began := time.Now(); !c.Ended() && time.Since(began) < testTimeout; {
+		pause := 150 * time.Millisecond
+		if time.Since(began) > nearlyEnded {
+			pause = 5 * time.Millisecond
+		}
+		time.Sleep(pause)
+		fields := map[string]string{"c": "lookup", "i": fmt.Sprintf("%016x", len(answers)), "d": "9000", "t": "acme", "h": "20.0", "heap_mb": "8"}
+		answers = append(answers, c.Send(fields, "select a from sales_1.b"))
+	}
+	r.awaitEnd(t)
+	for i, answer := range answers {
+		if got := <-answer; got.Err != nil {
+			assert.LessOrEqual(t, got.Took, crossing, "statement %d of %d", i, len(answers))
+		}
+	}
+}
--- a/internal/proxy/event_loop.go
+++ b/internal/proxy/event_loop.go
@@ -43,6 +43,7 @@
 	classifier *classify.Classifier
 	lease      *configurationLease // nil: no control group
 
+	rejectFrom        time.Duration // during a shutdown, from when on what arrives is rejected; 0: there is none
 	timers            []decision.SetTimer
 	followUps         []decision.Event // events caused by replies, for the module's next call
 	decidedAt         time.Duration    // when the module was last called
--- a/internal/proxy/receive.go
+++ b/internal/proxy/receive.go
@@ -76,6 +76,10 @@
 		l.reply(m.request, downstream.CodeRejected, []byte("id is in use"), reasonIDInUse)
 		return nil
 	}
+	if l.rejectFrom > 0 && now >= l.rejectFrom {
+		l.reply(m.request, downstream.CodeRejected, nil, decision.ReasonShutdown)
+		return nil
+	}
 	l.requests.add(m.request)
 	l.classify(m.request, &m.event, now)
 	m.event.TimeBudget = m.request.deadline.Sub(l.router.clockOrigin) - now // without the time since it was received
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -59,11 +59,20 @@
 	r.log.Info(logevent.ShutdownStarted, logevent.Milliseconds("within_ms", schedule.endAfter))
 	r.draining.Store(true)
 	r.downstream.StartDraining()
-	r.loop.post(input{event: decision.ShutdownStarted{GracePeriod: schedule.cancelAfter}})
+	r.loop.post(input{message: shutdownStarted{gracePeriod: schedule.cancelAfter}})
 	r.awaitIdle(ctx, listener, schedule, started)
 	return nil
 }
 
+// shutdownStarted is the begin of a graceful shutdown. The module ends what is open after the grace period; what arrives from then on never
+// runs, since the process ends before it could be answered.
+type shutdownStarted struct{ gracePeriod time.Duration }
+
+func (m shutdownStarted) apply(l *eventLoop, now time.Duration) decision.Event {
+	l.rejectFrom = now + m.gracePeriod
+	return decision.ShutdownStarted{GracePeriod: m.gracePeriod}
+}
+
 // awaitIdle closes the listener once no connection waits to be accepted, and returns when the shutdown may end. Several checks in a
 // row have to agree: after a pause, input that arrived during it has to be read first.
 func (r *Router) awaitIdle(ctx context.Context, listener net.Listener, schedule shutdownSchedule, started time.Time) {
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -28,10 +28,6 @@
 	}
 	s.deadlineTimer = m.timers.Schedule(s.answerBy, func() { m.endUnanswered(s, decision.ReasonDeadline) })
 	m.enqueue(s)
-	if m.shutDown {
-		m.endUnanswered(s, decision.ReasonShutdown)
-		return
-	}
 	if m.limits.MaxOpenStatements > 0 && len(m.statements) >= m.limits.MaxOpenStatements-1 {
 		m.endUnanswered(s, decision.ReasonTooManyOpenStatements)
 	}
--- a/policy/deadline.go
+++ b/policy/deadline.go
@@ -40,11 +40,9 @@
 	}
 }
 
-// scheduleShutdown ends all statements that are still open when this router's time is up, in the order of their IDs, and
-// from then on each one as it arrives.
+// scheduleShutdown ends all statements that are still open when this router's time is up, in the order of their IDs.
 func (m *Module) scheduleShutdown(gracePeriod time.Duration) {
 	m.timers.Schedule(m.now+gracePeriod, func() {
-		m.shutDown = true
 		for _, id := range slices.Sorted(maps.Keys(m.statements)) {
 			m.endUnanswered(m.statements[id], decision.ReasonShutdown)
 		}
--- a/policy/module.go
+++ b/policy/module.go
@@ -42,7 +42,6 @@
 	workloads        []*workload // by workload ID
 	endpoints        endpointList
 	statements       map[decision.StatementID]*statement // that are not finished
-	shutDown         bool                                // what arrives is answered at once
 	arrivals         int                                 // statements that ever arrived
 	attemptsInFlight int
 
