The fault lab records an engine's death when it is cut off, before its address is free

Cause, by the logs: e05's links were reset and closed at 8.181 s, its death was recorded at 8.419 s, after its server had waited for polls. In between the port of its link at router 6 (38179) was given to router 4's new link to e11 (both lists name it), where router 6's polls and starts for e05 then went. An address of an engine that has gone may be a new one's, so the router was right; the lab's record was late. Change: the death is recorded right after the links are cut.

--- a/internal/faultlab/engine.go
+++ b/internal/faultlab/engine.go
@@ -85,7 +85,8 @@
 	return time.Duration(workMillis) * time.Millisecond, threads
 }
 
-// stopEngines ends engines at once: their links are reset and refuse connections.
+// stopEngines ends engines at once: their links are reset and refuse connections. They are gone from then on, and a new engine may have
+// their addresses; the end of their servers waits for polls that nobody hears any more.
 func (f *fleet) stopEngines(engines []*engine) {
 	for _, e := range engines {
 		for _, r := range f.routers {
@@ -94,8 +95,8 @@
 				link.Reset()
 			}
 		}
-		e.model.Close()
 		f.record(Event{Kind: EngineGone, Router: noRouter, Engine: e.id})
+		e.model.Close()
 	}
 }
 
