--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -26,7 +26,16 @@
 	assert.True(t, b.TrySpend(0, HealthCheck), "a kind without a bound")
 }
 
-// Whatever arrives in whatever order, a router never spends more in a window than it earned in that window and the one before.
+func TestKindWithoutABoundIsNeverDenied(t *testing.T) {
+	b := Budget{Bounds: Bounds{Window: time.Second}}
+	for range 2 * maxUnits {
+		assert.True(t, b.TrySpend(0, Cancellation))
+	}
+	assert.Zero(t, b.Denied())
+}
+
+// Whatever arrives in whatever order, a router never spends more in a window than it earned in that window and the one before, or, where
+// the kind has no bound, is never denied a unit.
 func TestSpendsNoMoreThanEarned(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		bound := Bound{
@@ -55,6 +64,10 @@
 			}
 			earned[now] += len(b.expiries[Cancellation]) - before
 		}
+		if bound == (Bound{}) {
+			assert.Zero(t, b.Denied())
+			return
+		}
 		for end := range spent {
 			assert.LessOrEqual(t, sumAfter(spent, end-time.Second, end), sumAfter(earned, end-2*time.Second, end))
 		}
