A start that the network holds up is not delivered after its client left

Change: Attempt.ClientLeft resets that connection 50 ms after the departure if the start still has no response. The reset is no proof: the end counts as proven 2.35 s later, as after any other reset. Starting an attempt is a file of its own.

--- a/internal/proxy/cancellation_test.go
+++ b/internal/proxy/cancellation_test.go
@@ -14,6 +14,7 @@
 
 	"bankledge/decision"
 	"bankledge/internal/fakes"
+	"bankledge/internal/faultlab"
 )
 
 // waitingRequests are requests that wait at some place in the router when their clients leave.
@@ -129,20 +130,22 @@
 	}
 }
 
+// departures are the ways in which a client leaves.
+var departures = map[string]func(net.Conn){
+	"a frame":  func(c net.Conn) { c.Write(fakes.Frame(9, 1, "")) },
+	"its end":  func(c net.Conn) { c.Close() },
+	"half end": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+	"a reset": func(c net.Conn) {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	},
+}
+
 // A request whose client leaves while it waits is not forwarded, wherever it waits, alone or with others that leave at once; the
 // next request is. Its queue slot, its text and its account are released.
 func TestCancelledRequestIsNotForwarded(t *testing.T) {
-	cancels := map[string]func(net.Conn){
-		"a frame":  func(c net.Conn) { c.Write(fakes.Frame(9, 1, "")) },
-		"its end":  func(c net.Conn) { c.Close() },
-		"half end": func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
-		"a reset": func(c net.Conn) {
-			c.(*net.TCPConn).SetLinger(0)
-			c.Close()
-		},
-	}
 	for place, prepare := range waitingPlaces {
-		for how, cancel := range cancels {
+		for how, cancel := range departures {
 			for _, clients := range []int{1, 20} {
 				t.Run(fmt.Sprintf("%s, %s, %d", place, how, clients), func(t *testing.T) {
 					t.Parallel()
@@ -219,3 +222,26 @@
 		return r.metrics.outcomes.count(decision.NotSent) == 1 && r.metrics.open.Load() == 0
 	})
 }
+
+// A start is held up on its way to its engine when its client leaves, in whatever way: it does not come there 0.3 s later.
+func TestStartHeldUpIsNotDeliveredAfterDeparture(t *testing.T) {
+	for how, leave := range departures {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			engine, feed := newEngineAndFeed(t)
+			link, err := faultlab.NewLink(engine.Server.Listener.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(link.Close)
+			link.Impair(faultlab.Impairment{Blocked: true}, faultlab.Impairment{})
+			r := startRouter(t, fakes.Config(feedAddress(feed), fakes.Settings, 64, 256, fakes.Member("e", link.Address(), "active")))
+			conn := r.send(t, "lookup", "1")
+			r.await(t, "the start is on its way", func() bool { return link.InFlight() > 0 })
+			leave(conn)
+			r.await(t, "it is cancelled", func() bool { return r.metrics.cancelled.Load() == 1 })
+			time.Sleep(300 * time.Millisecond)
+			link.Restore()
+			r.await(t, "the way is free", func() bool { return link.InFlight() == 0 })
+			assert.Never(t, func() bool { return engine.CallCount("POST") > 0 }, 100*time.Millisecond, 10*time.Millisecond)
+		})
+	}
+}
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -46,9 +44,10 @@
 	cancel       context.CancelFunc
 	phase        atomic.Int32 // an attemptPhase
 
-	startWritten  atomic.Bool   // the kernel has taken the complete start
-	startResolved chan struct{} // closed once the start has reached the engine or never will: nothing of it is under way
-	endConfirmed  chan struct{} // closed once a response has proven that the engine does not run the attempt any more
+	startConn     atomic.Pointer[connection] // carries the start while that has no response; nil otherwise
+	startWritten  atomic.Bool                // the kernel has taken the complete start
+	startResolved chan struct{}              // closed once the start has reached the engine or never will: nothing of it is under way
+	endConfirmed  chan struct{}              // closed once a response has proven that the engine does not run the attempt any more
 	endOnce       sync.Once
 	reporting     sync.Mutex // held while progress is reported, and to set endReported
 	endReported   bool       // no progress is reported any more
@@ -159,58 +158,6 @@
 	return decision.ConnectFailed, false
 }
 
-// sendStart sends the statement, once, and reads the response. sent is false where the start cannot have reached the
-// engine complete, so that the engine cannot run it.
-func (a *Attempt) sendStart() (received response, sent bool, err error) {
-	timeLeft := time.Until(a.Deadline)
-	if timeLeft < minTimeLeft || !a.markStarted() {
-		return response{}, false, nil
-	}
-	a.conn.startUnanswered.Store(true)
-	received, err = a.roundTrip(pollTimeout, a.formatStart(timeLeft))
-	if !received.requestWritten {
-		return received, false, err
-	}
-	a.startWritten.Store(true)
-	if !isTimeout(err) { // it was answered, or the connection broke: what the engine has not read it never will
-		close(a.startResolved)
-	}
-	if err == nil {
-		err = checkResponse(received, isStatusResponse, nil)
-	}
-	return received, true, err
-}
-
-func (a *Attempt) formatStart(timeLeft time.Duration) []byte {
-	return formatRequest(http.MethodPost, startPath, a.conn.address, a.Text,
-		headerField{headerStatementID, string(a.Statement)},
-		headerField{headerWorkload, a.Workload},
-		headerField{headerTimeLeft, strconv.FormatInt(timeLeft.Milliseconds(), 10)},
-		headerField{"Content-Length", strconv.Itoa(len(a.Text))})
-}
-
-// markStarted makes an attempt a started one, unless it was cancelled, it is too late to start it, or its engine is
-// draining, removed or elsewhere by now. The engine may run it from here on. The time of the last request is stored
-// before the phase, since a concurrent cancellation that finds the attempt started computes the engine's retention from it.
-func (a *Attempt) markStarted() bool {
-	if a.client.AwaitDiscovery != nil {
-		a.client.AwaitDiscovery()
-	}
-	a.lastRequest.store(a.client.clockOrigin, time.Now())
-	if !a.client.pool.mayStartAttempt(a.Engine, a.address) || a.startDeadlinePassed() {
-		return false
-	}
-	if !a.phase.CompareAndSwap(phasePending, phaseStarted) {
-		return false
-	}
-	return a.ctx.Err() == nil // otherwise onContextDone may have found it pending, and reports no end
-}
-
-// startDeadlinePassed reports whether the attempt must not be started any more.
-func (a *Attempt) startDeadlinePassed() bool {
-	return !a.StartBefore.IsZero() && !time.Now().Before(a.StartBefore)
-}
-
 // sinceLastRequest returns how long ago the engine was last sent a request that keeps the attempt alive.
 func (a *Attempt) sinceLastRequest() time.Duration {
 	return time.Since(a.lastRequest.load(a.client.clockOrigin))
--- a/internal/upstream/attempt_cancel.go
+++ b/internal/upstream/attempt_cancel.go
@@ -38,6 +38,10 @@
 	}
 }
 
+// ClientLeft tells an attempt, beside Cancel, that its client has left: a start that is still on its way is not delivered any more. It does
+// not block. The attempt's end is proven as after any other reset.
+func (a *Attempt) ClientLeft() { time.AfterFunc(startAbortDelay, a.abortStart) }
+
 // onContextDone is called when the attempt is cancelled or its deadline has passed. It cancels a started attempt at
 // the engine and reports its end, beside the poll that is under way, whose connection stays usable.
 func (a *Attempt) onContextDone() {
