A client with an invalid frame keeps its valid statement and its answer when slots are short

Cause: the rank of a misbehaving client was decided before unread input and unacknowledged answers were looked at, so that its connection was closed for another with a valid statement unread (the reader waits up to 50 ms behind an invalid frame) or an answer still to be sent. Change: both are looked at first for every connection; after lost framing unread input is no statement.

--- a/internal/downstream/client_departure_test.go
+++ b/internal/downstream/client_departure_test.go
@@ -104,17 +104,16 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			_, handler, address := serve(t)
+			server, handler, address := serve(t)
 			client := dialSmallBuffer(t, address)
 			stall(t, handler, client)
-			write(t, client, appendFrame(nil, frameReadinessQuery, 0, 0))
-			await(t, handler.queries) // the reader has handled this, and stops before the next read
+			awaitReadingStopped(t, handler, server.snapshot()[0], client)
 			c.leaves(client)
-			began := time.Now()
+			left := time.Now()
 			for await(t, handler.cancelled) != 1 {
-				require.Less(t, time.Since(began), slowClientTimeout)
+				require.Less(t, time.Since(left), departureNotice)
 			}
-			require.Less(t, time.Since(began), slowClientTimeout)
+			require.Less(t, time.Since(left), departureNotice)
 		})
 	}
 }
@@ -138,6 +137,16 @@
 	t.Fatal("the client did not stall")
 }
 
+// awaitReadingStopped sends a query to a connection that has stalled, and waits until its reader has handled that and stops before the next
+// read, or has stopped before it.
+func awaitReadingStopped(t *testing.T, handler *chanHandler, conn *Conn, client net.Conn) {
+	t.Helper()
+	write(t, client, appendFrame(nil, frameReadinessQuery, 0, 0))
+	require.Eventually(t, func() bool {
+		return conn.readingStopped() && (len(handler.queries) > 0 || conn.unreadBytes() > 0)
+	}, eventTimeout, time.Millisecond)
+}
+
 func TestCancelledStreams(t *testing.T) {
 	for _, c := range []struct {
 		name         string
--- a/internal/downstream/closed_socket_test.go
+++ b/internal/downstream/closed_socket_test.go
@@ -37,10 +37,7 @@
 			client := dialSmallBuffer(t, address)
 			stall(t, handler, client)
 			conn := server.snapshot()[0]
-			write(t, client, appendFrame(nil, frameReadinessQuery, 0, 0))
-			require.Eventually(t, func() bool { // the reader has handled the query and stops, or had stopped before it
-				return conn.readingStopped() && (len(handler.queries) > 0 || conn.unreadBytes() > 0)
-			}, eventTimeout, time.Millisecond)
+			awaitReadingStopped(t, handler, conn, client)
 			c.closes(t, conn)
 			closed := time.Now()
 			select {
--- a/internal/downstream/eviction_crossing_test.go
+++ b/internal/downstream/eviction_crossing_test.go
@@ -136,3 +136,55 @@
 		}
 	}
 }
+
+// A client that has sent an invalid frame is the first to be closed for another, but not with a statement unread or an answer that it has
+// not acknowledged: those were valid.
+func TestEvictionOfMisbehavingClientLosesNoStatement(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	for _, c := range []struct {
+		name        string
+		framingLost bool
+		happens     func(*testing.T, *Conn, net.Conn)
+		evictable   bool
+	}{
+		{"nothing", false, func(*testing.T, *Conn, net.Conn) {}, true},
+		{"a statement lies unread", false, leaveStatementUnread, false},
+		{"an answer is not acknowledged", false, leaveAnswerUnacknowledged, false},
+		{"framing lost: what lies unread is no statement", true, leaveStatementUnread, true},
+		{"framing lost, and an earlier answer is not acknowledged", true, leaveAnswerUnacknowledged, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			client := dialSmallBuffer(t, listener.Addr().String())
+			raw, err := listener.Accept()
+			require.NoError(t, err)
+			defer raw.Close()
+			server := newTestServer(newChanHandler(), 1<<20)
+			conn := newConn(server, raw, server.flow.OpenPeer("x"), time.Now().Add(-time.Minute))
+			makeIdle(conn)
+			conn.countInvalidFrame()
+			conn.framingLost.Store(c.framingLost)
+			require.Equal(t, evictMisbehaving, conn.evictionRank(), "it is chosen")
+			c.happens(t, conn, client)
+			assert.Equal(t, c.evictable, conn.closeIfIdle())
+		})
+	}
+}
+
+func leaveStatementUnread(t *testing.T, conn *Conn, client net.Conn) {
+	t.Helper()
+	write(t, client, statementFrame(1))
+	require.Eventually(t, func() bool { return conn.unreadBytes() > 0 }, eventTimeout, time.Millisecond)
+}
+
+// leaveAnswerUnacknowledged fills the client's receive buffer and leaves the rest in the router's send buffer.
+func leaveAnswerUnacknowledged(t *testing.T, conn *Conn, _ net.Conn) {
+	t.Helper()
+	require.NoError(t, conn.raw.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err := conn.raw.Write(make([]byte, 8<<20))
+	require.True(t, isTimeout(err))
+	unsent, ok := conn.unsentBytes()
+	require.True(t, ok)
+	require.Positive(t, unsent)
+}
--- a/internal/downstream/idle_eviction.go
+++ b/internal/downstream/idle_eviction.go
@@ -94,10 +94,14 @@
 	switch {
 	case c.ended || len(c.openStreams) > 0 || len(c.queue) > 0 || c.framesInWrite > 0:
 		return notEvictable
-	case c.invalidFrames > 0:
+	case c.hasUnacknowledged(): // a close would have the kernel drop it if something lies unread
+		return notEvictable
+	case c.framingLost.Load(): // what lies unread is no statement
 		return evictMisbehaving
-	case c.unreadBytes() > 0: // it arrived while the router did not run
+	case c.unreadBytes() > 0: // it arrived while the router did not run, or while the reader waits after an invalid frame
 		return notEvictable
+	case c.invalidFrames > 0:
+		return evictMisbehaving
 	case !c.hasSentFrame && time.Since(c.acceptedAt) < newConnGrace:
 		return notEvictable
 	case !c.hasSentFrame:
@@ -105,12 +109,15 @@
 	case time.Since(c.idleSince) < evictionIdleTime:
 		return notEvictable
 	}
-	if unsent, ok := c.unsentBytes(); ok && unsent > 0 { // a close would have the kernel drop it if something lies unread
-		return notEvictable
-	}
 	return evictIdle
 }
 
+// hasUnacknowledged returns whether the client has not acknowledged all that was written. Where the kernel does not report it, it has.
+func (c *Conn) hasUnacknowledged() bool {
+	unsent, known := c.unsentBytes()
+	return known && unsent > 0
+}
+
 // closeIfIdle closes a connection whose loss leaves no client without an answer, and returns whether it did: what arrives on it is not
 // handled any more.
 func (c *Conn) closeIfIdle() bool {
--- a/internal/downstream/shutdown.go
+++ b/internal/downstream/shutdown.go
@@ -24,7 +24,7 @@
 	defer s.mu.Unlock()
 	for c := range s.connections {
 		pending += c.pendingFrames()
-		if unsent, ok := c.unsentBytes(); ok && unsent > 0 { // the kernel might drop it if the process ended now
+		if c.hasUnacknowledged() { // the kernel might drop it if the process ended now
 			pending++
 		}
 	}
