An engine is told the time that its client has left after the wait for discovery

Cause: the time left was taken before the wait (up to 0.5 s, after a suspension) for the control feed's unread events, so that the engine was told up to 0.5 s too much, where 0.15 s are allowed, and an attempt could begin after a deadline that passed in the wait. Change: it is taken after the wait, and nothing starts when it is over.

--- a/internal/upstream/attempt_start.go
+++ b/internal/upstream/attempt_start.go
@@ -17,8 +17,11 @@
 func (a *Attempt) sendStart() (received response, sent bool, err error) {
 	a.startConn.Store(a.conn)
 	defer a.finishStart()
-	timeLeft := time.Until(a.Deadline)
-	if timeLeft < minTimeLeft || !a.markStarted() {
+	if !a.markStarted() {
+		return response{}, false, nil
+	}
+	timeLeft := time.Until(a.Deadline) // only now: markStarted may have waited
+	if timeLeft < minTimeLeft {
 		return response{}, false, nil
 	}
 	a.conn.startUnanswered.Store(true)
