Withholding a start does not hold on to an attempt that has none under way

Cause: the delay of 50 ms kept each attempt of a departed client, with its text, also those that were never sent or had their response, while the text counts as released. Change: the delay begins only where the start may be under way.

--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -61,8 +61,8 @@
 	l.router.log.Debug(logevent.RequestCancelled, logevent.RequestID(req.id), zap.Int("attempts", len(req.attempts)),
 		zap.Int("in_flight", req.attemptsInFlight))
 	l.router.metrics.cancelled.Add(1)
+	l.finish(req)
 	for _, attempt := range req.attempts { // also those that were called off before
 		attempt.WithholdStart()
 	}
-	l.finish(req)
 }
--- a/internal/upstream/attempt_cancel.go
+++ b/internal/upstream/attempt_cancel.go
@@ -46,7 +46,13 @@
 }
 
 // WithholdStart keeps a start that is still on its way from its engine, and does not block. It proves no end: the engine may have the start.
-func (a *Attempt) WithholdStart() { time.AfterFunc(startAbortDelay, a.abortStart) }
+// Where there is none to keep, it does not hold on to the attempt.
+func (a *Attempt) WithholdStart() {
+	if a.startIsOver() {
+		return
+	}
+	time.AfterFunc(startAbortDelay, a.abortStart)
+}
 
 // onContextDone is called when the attempt is cancelled or its deadline has passed. It cancels a started attempt at
 // the engine and reports its end, beside the poll that is under way, whose connection stays usable.
--- a/internal/upstream/attempt_start.go
+++ b/internal/upstream/attempt_start.go
@@ -62,6 +62,18 @@
 	conn.socket.Close()
 }
 
+// startIsOver reports whether nothing of the start is under way, nor will be: it has its response, or will not be sent. startConn is
+// set before the phase is, and reset once there is a response.
+func (a *Attempt) startIsOver() bool {
+	switch a.phase.Load() {
+	case phaseCancelledUnsent:
+		return true
+	case phaseStarted:
+		return a.startConn.Load() == nil
+	}
+	return false
+}
+
 // finishStart keeps abortStart from the connection, which may serve other attempts from now on. If abortStart came first, the connection
 // is not used again.
 func (a *Attempt) finishStart() {
--- a/internal/upstream/late_start_test.go
+++ b/internal/upstream/late_start_test.go
@@ -144,3 +144,24 @@
 	assert.Nil(t, attempt.conn)
 	assert.Zero(t, client.ConnectionsInUse())
 }
+
+// An attempt is held for the delay only while its start may be under way: its text counts as released once the attempt has ended.
+func TestWithholdingHoldsNoAttemptWithoutStart(t *testing.T) {
+	engine := startPersistentEngine(t, func(*persistentEngine, string, int) string { return noProgressResponse })
+	client := newTestClient(t.Context(), make(endRecorder, 1), 4, time.Second, engine.listener.Addr().String())
+	attempt := newAttempt(t.Context(), client, AttemptRequest{Statement: "1", Deadline: inAMinute()})
+	assert.False(t, attempt.startIsOver(), "it may start yet")
+	var err error
+	attempt.conn, err = client.pool.acquire(attempt.ctx, "e", attempt.address, false)
+	require.NoError(t, err)
+	attempt.startConn.Store(attempt.conn)
+	require.True(t, attempt.markStarted())
+	assert.False(t, attempt.startIsOver())
+	attempt.finishStart()
+	assert.True(t, attempt.startIsOver())
+	attempt.releaseConnection(true)
+
+	unsent := newAttempt(t.Context(), client, AttemptRequest{Statement: "2", Deadline: inAMinute()})
+	require.True(t, unsent.CancelUnsent())
+	assert.True(t, unsent.startIsOver())
+}
