The fault lab ends every router process that it started

Cause: two outages of one router that overlap start its process twice, and only the later one was killed at the end of a play: soaks left routers running, two after 180 plays. Change: a router keeps all processes that were started and kills them when it closes.

--- a/internal/faultlab/router.go
+++ b/internal/faultlab/router.go
@@ -34,6 +34,7 @@
 	mu          sync.Mutex
 	engineLinks map[string]*Link // by id of the engine
 	process     *process         // nil before the first start
+	processes   []*process       // all that were started: two outages that overlap start two
 	address     string           // where the process listens
 	starts      int
 	clients     []*fakes.Client
@@ -132,6 +133,7 @@
 	}
 	r.mu.Lock()
 	r.process = started
+	r.processes = append(r.processes, started)
 	r.mu.Unlock()
 	address, err := started.awaitServing(ctx)
 	if err != nil {
@@ -271,10 +273,10 @@
 
 func (r *router) close() {
 	r.mu.Lock()
-	p := r.process
+	processes := r.processes
 	clients := r.clients
 	r.mu.Unlock()
-	if p != nil {
+	for _, p := range processes {
 		p.kill()
 	}
 	for _, c := range clients {
