--- a/internal/faultlab/router.go
+++ b/internal/faultlab/router.go
@@ -5,10 +5,12 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -258,10 +260,17 @@
 	return r.signal(syscall.SIGSTOP)
 }
 
+// resume resumes whatever stop has suspended. That may be an earlier process, if an outage that overlaps has started another one since.
 func (r *router) resume() error {
-	err := r.signal(syscall.SIGCONT)
+	r.mu.Lock()
+	processes := slices.Clone(r.processes)
+	r.mu.Unlock()
+	var errs []error
+	for _, p := range processes {
+		errs = append(errs, p.signal(syscall.SIGCONT))
+	}
 	r.fleet.record(Event{Kind: RouterUp, Router: r.index, Text: downStopped})
-	return err
+	return errors.Join(errs...)
 }
 
 func (r *router) signal(s os.Signal) error {
