--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# The control feed accepts no new connections for some seconds; an engine that drains must not be sent statements.
+# The control feed ends its lines with CR; an engine that drains must not be sent statements.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves out the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 ROOT=$(cd "$here/../.." && pwd)
 RUN=$(sed -n 's/^run = "\(.*\)"$/\1/p' "$ROOT/deploy/balancer.toml")
 export ROOT RUN
 [ -x "$ROOT/review/bin/standin-2" ] || exit 2
-exec "$ROOT/review/bin/standin-2" crowded-feed "$here/record.txt"
+exec "$ROOT/review/bin/standin-2" feed-line-ends "$here/record.txt"
