--- a/review/standin-2/group.go
+++ b/review/standin-2/group.go
@@ -187,7 +187,8 @@
 func (g *controlGroup) noteStatus() {
 	for id := range g.processes {
 		s, err := g.status(id)
-		g.w.note("status of process %d: leads %v, newest version %d, lineage %q, members %v, %s, %v", id, s.Leads, s.Newest, s.Lineage, s.Members, s.Error, err)
+		g.w.note("status of process %d: leads %v, newest version %d, lineage %q, members %v, %s, %v",
+			id, s.Leads, s.Newest, s.Lineage, s.Members, s.Error, err)
 	}
 }
 
