--- a/review/standin-2/group.go
+++ b/review/standin-2/group.go
@@ -15,7 +15,10 @@
 
 // Figures of the case replaced-process.
 const (
-	groupSize    = 3
+	groupSize = 3
+
+	firstProposals = 2
+
 	leaderWithin = 15 * time.Second
 	catchUpTime  = 20 * time.Second // after the new process votes
 	electionTime = 8 * time.Second  // after a process has ended
@@ -56,8 +59,10 @@
 	if err != nil {
 		return 0, err
 	}
-	if !g.propose() || !g.propose() {
-		return 0, fmt.Errorf("the new group accepts no proposal")
+	for range firstProposals {
+		if !g.propose() {
+			return 0, fmt.Errorf("the new group accepts no proposal")
+		}
 	}
 	followers := g.others(leader)
 	if w.trouble {
