--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-CGO_ENABLED=1 go build -o review/bin/standin-2 ./review/standin-2
+CGO_ENABLED=1 go build -tags review -o review/bin/standin-2 ./review/standin-2
 CGO_ENABLED=1 go build -o review/bin/control-2 ./cmd/bankledge-control
--- a/review/standin-2/crowd.go
+++ b/review/standin-2/crowd.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin-2 plays the cases 6 to 10 of the review: it starts the project's own programs, takes the place of the clients, the engines,
 // the control feed and the network, and judges what these can see.
 //
