--- a/review/standin-2/frames.go
+++ b/review/standin-2/frames.go
@@ -9,11 +9,11 @@
 
 // Figures of the case slow-writers.
 const (
-	slowWriters    = 80                     // a quarter of the connections that clients may hold: a third of 1,024 descriptors
-	slowFrameBytes = 250_000                // of a slow writer's statement; a frame holds 262,144 at most
-	slowPieceBytes = 2_500                  // written every slowPieceEvery: 25,000 bytes a second
-	slowPieceEvery = 100 * time.Millisecond //
-	soundStatement = 40_000                 // bytes of a sound client's statement
+	slowWriters    = 80      // a quarter of the connections that clients may hold: a third of 1,024 descriptors
+	slowFrameBytes = 250_000 // of a slow writer's statement; a frame holds 262,144 at most
+	slowPieceBytes = 2_500   // written every slowPieceEvery: 25,000 bytes a second
+	slowPieceEvery = 100 * time.Millisecond
+	soundStatement = 40_000 // bytes of a sound client's statement
 	soundClients   = 20
 	statementLimit = 6 * time.Second
 	// lostAfter is the time after a statement's own time from which its answer counts as lost.
