--- a/review/standin-2/answers.go
+++ b/review/standin-2/answers.go
@@ -13,7 +13,7 @@
 const (
 	secondAnswerAfter = 12 * time.Millisecond // after the first one
 	secondAnswerOdds  = 20                    // one good end in so many is answered twice
-	answersFor        = 20 * time.Second
+	answersFor        = 60 * time.Second
 )
 
 func init() { cases["second-answers"] = secondAnswersCase }
@@ -25,7 +25,7 @@
 	if err != nil {
 		return 0, err
 	}
-	d, err := startDrainWorld(w, f, traffic{engines: 2, every: 2500 * time.Microsecond})
+	d, err := startDrainWorld(w, f, usualTraffic)
 	if err != nil {
 		return 0, err
 	}
