--- a/review/standin-2/drains.go
+++ b/review/standin-2/drains.go
@@ -25,7 +25,8 @@
 	every   time.Duration // between two statements in the mean
 }
 
-var usualTraffic = traffic{engines: 4, every: 5 * time.Millisecond}
+// usualTraffic is that of the site: about 98 statements a second on 6 to 8 engines.
+var usualTraffic = traffic{engines: 6, every: time.Second / 98}
 
 // drainWorld is a router with traffic, its engines and its feed.
 type drainWorld struct {
@@ -128,7 +129,7 @@
 	if err != nil {
 		return 0, err
 	}
-	for _, drained := range d.engines[1:] {
+	for _, drained := range d.engines[1:5] {
 		time.Sleep(time.Second + rand.N(2*time.Second)) // at no chosen moment between two comments
 		broken += d.drain(drained, 0, 2*time.Second)
 	}
@@ -139,6 +140,9 @@
 // slowFeedAnswer is the time after which a slow control feed answers a call. It tells its events much sooner than the protocol's 7 s.
 const slowFeedAnswer = 3 * time.Second
 
+// lookLonger is how long the case goes on after the event counts as told.
+const lookLonger = 20 * time.Second
+
 // slowFeedCase has the control feed answer each call after 3 s, and an engine begins to drain later.
 func slowFeedCase(w *world) (broken int, err error) {
 	delay := time.Duration(0)
@@ -154,7 +158,7 @@
 		return 0, err
 	}
 	time.Sleep(10 * time.Second)
-	broken = d.drain(d.engines[0], latestTold, latestTold+4*time.Second)
+	broken = d.drain(d.engines[0], latestTold, latestTold+lookLonger)
 	d.stopTraffic()
 	return broken, nil
 }
