Server-sent events: a line that ends with CR is complete without the next byte

Callers saw statements sent to an engine that drained: with a control feed whose lines end with CR, an event was acted on with the first byte after it, which is usually the next comment, up to 1 s later.

Cause: splitLine held a line that ends with CR back until the next byte showed whether an LF follows. The line is complete with the CR, so it is returned at once now, and an LF that follows is skipped.

TestEventIsHandledWithoutFurtherInput failed before in CR, CR with two events, and CR LF with the last LF later; passes now.

--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -32,7 +32,7 @@
 func Read(body io.Reader, maxBytes int, handler Handler) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, min(maxBytes, initialBufferSize)), maxBytes)
-	lines.Split(splitLine)
+	lines.Split(new(lineSplitter).split)
 	parser := parser{handler: handler, maxBytes: maxBytes}
 	firstLine := true
 	for lines.Scan() {
@@ -100,24 +100,27 @@
 	return p.handler.OnEvent(event)
 }
 
-// splitLine is a bufio.SplitFunc for lines that end with CR LF, LF or CR. If the buffered data ends with a CR, the line is not returned
-// until the next byte shows whether an LF follows.
-func splitLine(data []byte, atEOF bool) (advance int, token []byte, err error) {
-	end := bytes.IndexAny(data, "\r\n")
-	switch {
-	case end < 0 && atEOF && len(data) > 0:
-		return len(data), data, nil
-	case end < 0:
-		return 0, nil, nil
-	case data[end] == '\n':
-		return end + 1, data[:end], nil
+// lineSplitter splits a stream into lines that end with CR LF, LF or CR. A line that ends with a CR is complete with it: the next byte may
+// arrive much later. An LF that follows is skipped.
+type lineSplitter struct{ skipLF bool }
+
+// split is a bufio.SplitFunc.
+func (s *lineSplitter) split(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	start := 0
+	if s.skipLF && len(data) > 0 {
+		s.skipLF = false
+		if data[0] == '\n' {
+			start = 1
+		}
 	}
-	next := end + 1
-	switch {
-	case next < len(data) && data[next] == '\n':
-		return next + 1, data[:end], nil
-	case next == len(data) && !atEOF:
-		return 0, nil, nil
+	length := bytes.IndexAny(data[start:], "\r\n")
+	if length < 0 {
+		if atEOF && start < len(data) {
+			return len(data), data[start:], nil
+		}
+		return start, nil, nil
 	}
-	return next, data[:end], nil
+	end := start + length
+	s.skipLF = data[end] == '\r'
+	return end + 1, data[start:end], nil
 }
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -67,3 +67,46 @@
 	err := Read(body, 100, Handler{OnEvent: func(Event) error { t.Error("an incomplete event was delivered"); return nil }})
 	assert.ErrorIs(t, err, broken)
 }
+
+// deliveryChecker delivers a stream in pieces. Each read after an event was delivered completely checks that the event was handled.
+type deliveryChecker struct {
+	t         *testing.T
+	pieces    []string
+	handled   *int
+	delivered int // events that the pieces delivered so far contain
+	eventEnd  string
+}
+
+func (d *deliveryChecker) Read(p []byte) (int, error) {
+	assert.Equal(d.t, d.delivered, *d.handled, "events handled before the next read")
+	if len(d.pieces) == 0 {
+		return 0, io.EOF
+	}
+	piece := d.pieces[0]
+	d.pieces = d.pieces[1:]
+	d.delivered += strings.Count(piece, d.eventEnd)
+	return copy(p, piece), nil
+}
+
+// Guards against a drain that is acted on late: an event was handled only when the byte after its last CR arrived.
+func TestEventIsHandledWithoutFurtherInput(t *testing.T) {
+	for _, c := range []struct {
+		name, eventEnd string
+		pieces         []string
+	}{
+		{"LF", "\n\n", []string{":\n", "data: a\n\n", ":\n", "data: b\n\n"}},
+		{"CR", "\r\r", []string{":\r", "data: a\r\r", ":\r", "data: b\r\r"}},
+		{"CR, two events at once", "\r\r", []string{"data: a\r\rdata: b\r\r"}},
+		{"CR LF", "\r\n\r\n", []string{":\r\n", "data: a\r\n\r\n", ":\r\n", "data: b\r\n\r\n"}},
+		{"CR LF, the last LF later", "\r\n\r", []string{"data: a\r\n\r", "\n", "data: b\r\n\r", "\n:\r\n", ":\r\n"}},
+		{"CR, then LF", "\r\n", []string{"data: a\r", "\r\n", "data: b\r\r\n", "\n"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			handled := 0
+			stream := &deliveryChecker{t: t, pieces: c.pieces, handled: &handled, eventEnd: c.eventEnd}
+			err := Read(stream, 100, Handler{OnEvent: func(Event) error { handled++; return nil }})
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, 2, handled)
+		})
+	}
+}
