Control feed: a line that ends with CR counts as progress

A feed whose lines end with CR was connected to again every 1.25 to 2.5 s, since recordProgress took only LF as the end of a line. While the router reconnects it hears of no event.

Either byte is the end of a line now.

--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -18,6 +18,8 @@
 	initialLineTimeout = 1250 * time.Millisecond
 	// progressBytes is how many bytes of an incomplete line also count as progress, since an event may be long.
 	progressBytes = 4 << 10
+	// lineEndBytes are the bytes that end a line of server-sent events.
+	lineEndBytes = "\r\n"
 	// lateReadTimeout limits a read after the deadline of bytes that have already arrived.
 	lateReadTimeout = 20 * time.Millisecond
 	// eventTimeout is the time without an event, even if comments arrive, after which another connection is opened, in case this one has
@@ -88,7 +90,7 @@
 
 func (l *monitoredConn) recordProgress(received []byte, now time.Time) {
 	l.bytesSinceProgress += len(received)
-	if bytes.IndexByte(received, '\n') < 0 && l.bytesSinceProgress < progressBytes {
+	if !bytes.ContainsAny(received, lineEndBytes) && l.bytesSinceProgress < progressBytes {
 		return
 	}
 	l.lastProgress = now
--- a/internal/discovery/stream_test.go
+++ b/internal/discovery/stream_test.go
@@ -89,3 +89,17 @@
 	require.ErrorIs(t, err, errReplaced)
 	assert.Equal(t, 2, attempts)
 }
+
+// Guards against a feed that is connected to again every few seconds: comments that end with CR did not count as progress.
+func TestLinesOfAnyEndAreProgress(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r", "\r\n"} {
+		conn := &monitoredConn{progressTimeout: initialLineTimeout, headerRead: true}
+		now := time.Now()
+		conn.recordProgress([]byte(":"), now)
+		assert.False(t, conn.bodyStarted, "an incomplete line")
+		conn.recordProgress([]byte(lineEnd), now)
+		assert.True(t, conn.bodyStarted, "%q", lineEnd)
+		assert.Equal(t, now, conn.lastProgress, "%q", lineEnd)
+		assert.Equal(t, silenceTimeout, conn.progressTimeout, "%q", lineEnd)
+	}
+}
