Client frames: slow writers no longer end connections with complete statements

Cause: the announced size of each frame was reserved at once in an amount that all connections share, and a shortage ended the connection that asked.

A read buffer now grows with what has arrived. On a shortage the frame is dropped whose rest would take longest, of the address that occupies most. Its bytes are read and not kept, and its statement is rejected on its stream when it is complete: one final answer, and the connection stays usable.

--- a/internal/downstream/cancel_detection.go
+++ b/internal/downstream/cancel_detection.go
@@ -19,13 +19,13 @@
 
 // peekForCancelOrClose searches unread input for cancel frames without consuming it, and handles them. It is called while reading from
 // the client is stopped or slowed down, since a client that does not read its answers or that sends invalid frames may still cancel
-// statements or close the connection. pending is input that was read and not handled yet. It returns whether the connection has ended:
-// the client or the router has closed it, or it has failed.
-func (c *Conn) peekForCancelOrClose(pending []byte) (ended bool) {
+// statements or close the connection. pending is input that was read and not handled yet, skipped the number of unread bytes that belong
+// to a skipped frame. It returns whether the connection has ended: the client or the router has closed it, or it has failed.
+func (c *Conn) peekForCancelOrClose(pending []byte, skipped int) (ended bool) {
 	scratch := c.server.peekBuffers.Get().(*[peekBytes]byte)
 	defer c.server.peekBuffers.Put(scratch)
 	n, ended := c.peek(scratch[:])
-	for _, stream := range cancelledStreams(pending, scratch[:n]) {
+	for _, stream := range cancelledStreams(pending, scratch[min(n, skipped):n]) {
 		c.cancelStream(stream)
 	}
 	return ended || c.clientClosed()
--- a/internal/downstream/frame.go
+++ b/internal/downstream/frame.go
@@ -71,12 +71,15 @@
 	}
 	f = frame{
 		kind:    frameType(raw[lengthBytes]),
-		stream:  binary.BigEndian.Uint32(raw[lengthBytes+1:]),
+		stream:  frameStream(raw),
 		payload: raw[frameHeadBytes:size],
 	}
 	return f, size, nil
 }
 
+// frameStream returns the stream of the frame at the start of raw, which must hold the complete frame head.
+func frameStream(raw []byte) uint32 { return binary.BigEndian.Uint32(raw[lengthBytes+1:]) }
+
 // declaredFrameSize returns the size in bytes of the frame at the start of raw, by its length field, or 0 if that is incomplete.
 func declaredFrameSize(raw []byte) int {
 	if len(raw) < lengthBytes {
--- a/internal/downstream/frame_reader.go
+++ b/internal/downstream/frame_reader.go
@@ -15,13 +15,12 @@
 	lateReadTimeout = 20 * time.Millisecond
 	// peekInterval is how often a connection from which the server does not read is checked for cancel frames and for a close by its client.
 	peekInterval = 50 * time.Millisecond
-	// smallFrameBytes is the size of the largest frame that needs no reservation in Server.freeFrameMemory, which all connections share.
+	// smallFrameBytes is the size of the largest read buffer that needs no reservation in flowcontrol.Limits.FrameBytes.
 	smallFrameBytes = 4 << 10
 
 	maxInvalidFrames     = 128                  // per connection; one more closes it
 	invalidFrameDelay    = 2 * time.Millisecond // per invalid frame so far, before the next read
 	maxInvalidFrameDelay = 50 * time.Millisecond
-	discardLinger        = time.Second // how long input is still read and discarded after the last answer
 )
 
 // frameReader reads the frames of a connection.
@@ -33,7 +32,8 @@
 	hasReadFrame   bool
 	invalidFrames  int   // of the connection, as of the last frame handled
 	lateBytes      int64 // of the current frame, received after limits.FrameGrace
-	reservedMemory int64 // bytes of Server.freeFrameMemory reserved for the current frame
+	reservedMemory int64 // bytes reserved for the current frame
+	skipped        skippedFrame
 }
 
 func newFrameReader(c *Conn) *frameReader {
@@ -48,34 +48,58 @@
 // run reads and handles frames until nothing more can be read or the connection is to be closed.
 func (r *frameReader) run() {
 	defer r.releaseMemory()
-	for r.handleBuffered() && r.delayInvalid() && r.reserveMemory() && r.waitWhileStalled() && r.checkEviction() && r.fill() {
+	for r.handleBuffered() && r.delayInvalid() && r.waitWhileStalled() && r.checkEviction() && r.ensureMemory() && r.fill() {
 	}
 }
 
 // handleBuffered handles all complete frames in the buffer. Like the other steps that run calls, it returns whether to continue.
 func (r *frameReader) handleBuffered() bool {
 	for {
-		f, size, err := parseFrame(r.buffer.Bytes())
-		if err != nil {
+		handled, err := r.handleNext()
+		switch {
+		case err != nil:
 			r.conn.discardInput(err)
 			return false
-		}
-		if size == 0 {
+		case !handled:
 			return true
-		}
-		r.conn.handleFrame(f)
-		r.invalidFrames = r.conn.invalidFrameCount()
-		if r.invalidFrames > maxInvalidFrames {
-			r.conn.discardInput(errTooManyInvalid)
+		case !r.finishFrame():
 			return false
 		}
-		r.buffer.Discard(size)
-		r.releaseMemory()
-		r.hasReadFrame = true
-		r.restartGrace()
 	}
 }
 
+// handleNext handles the frame at the start of the buffer, and returns whether it was complete.
+func (r *frameReader) handleNext() (handled bool, err error) {
+	if r.skipped.missing > 0 {
+		return r.skipBuffered(), nil
+	}
+	f, size, err := parseFrame(r.buffer.Bytes())
+	if err != nil || size == 0 {
+		return false, err
+	}
+	r.conn.handleFrame(f)
+	r.buffer.Discard(size)
+	return true, nil
+}
+
+// finishFrame prepares for the next frame after a complete one. It stops reading if the client has sent too many invalid frames.
+func (r *frameReader) finishFrame() bool {
+	r.releaseMemory()
+	r.hasReadFrame = true
+	r.restartGrace()
+	r.invalidFrames = r.conn.invalidFrameCount()
+	if r.invalidFrames > maxInvalidFrames {
+		r.conn.discardInput(errTooManyInvalid)
+		return false
+	}
+	return true
+}
+
+// atFrameStart returns whether no part of the next frame has been read.
+func (r *frameReader) atFrameStart() bool {
+	return len(r.buffer.Bytes()) == 0 && r.skipped.missing == 0
+}
+
 // restartGrace restarts the time limit of the current frame after a delay that does not count against the client.
 func (r *frameReader) restartGrace() {
 	r.frameWaitStart = time.Now()
@@ -88,7 +112,12 @@
 		return true
 	}
 	time.Sleep(min(maxInvalidFrameDelay, time.Duration(r.invalidFrames)*invalidFrameDelay))
-	return r.continueUnlessClosed(r.conn.peekForCancelOrClose(r.buffer.Bytes()))
+	return r.peekForCancelOrClose()
+}
+
+// peekForCancelOrClose handles cancel frames in unread input, and returns whether to continue reading.
+func (r *frameReader) peekForCancelOrClose() bool {
+	return r.continueUnlessClosed(r.conn.peekForCancelOrClose(r.buffer.Bytes(), r.skipped.missing))
 }
 
 // continueUnlessClosed sets the close reason if the client has closed the connection, and returns whether to continue reading.
@@ -99,32 +128,19 @@
 	return !closed
 }
 
-// reserveMemory reserves memory for the current frame in Server.freeFrameMemory if the frame is larger than smallFrameBytes.
-func (r *frameReader) reserveMemory() bool {
-	size := declaredFrameSize(r.buffer.Bytes())
-	if size <= smallFrameBytes || r.reservedMemory != 0 {
-		return true
-	}
-	r.reservedMemory = int64(size)
-	if r.conn.server.freeFrameMemory.Add(-r.reservedMemory) < 0 {
-		r.conn.discardInput(errNoFrameMemory)
-		return false
-	}
-	return true
-}
-
-func (r *frameReader) releaseMemory() {
-	r.conn.server.freeFrameMemory.Add(r.reservedMemory)
-	r.reservedMemory = 0
-}
-
 // waitWhileStalled waits while the client is stalled.
 func (r *frameReader) waitWhileStalled() bool {
-	waited, closed := r.conn.awaitReadResumed(r.buffer.Bytes())
-	if !r.continueUnlessClosed(closed) {
-		return false
-	}
-	if waited {
+	for r.conn.readingStopped() {
+		r.skipRevokedFrame()
+		if !r.peekForCancelOrClose() {
+			return false
+		}
+		select {
+		case <-r.conn.readResumed:
+		case <-time.After(peekInterval):
+		case <-r.conn.shutdown:
+			return true
+		}
 		r.restartGrace()
 	}
 	return true
@@ -132,33 +148,32 @@
 
 // checkEviction closes the connection if its eviction was requested and no part of a frame was read. It returns whether to continue.
 func (r *frameReader) checkEviction() bool {
-	return !r.conn.evictIfRequested(len(r.buffer.Bytes()) > 0)
+	return !r.conn.evictIfRequested(!r.atFrameStart())
 }
 
 // fill reads once from the connection into the buffer and handles a read error.
 func (r *frameReader) fill() bool {
-	idle := r.hasReadFrame && len(r.buffer.Bytes()) == 0
-	n, err := r.readBefore(r.deadline(idle))
+	idle := r.hasReadFrame && r.atFrameStart()
+	deadline := r.deadline(idle)
+	n, err := r.readBefore(deadline)
 	switch {
 	case idle && n > 0:
 		r.frameWaitStart = time.Now()
 	case time.Since(r.frameWaitStart) > r.limits.FrameGrace:
 		r.lateBytes += int64(n)
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		return true
-	}
-	if isTimeout(err) {
-		if r.conn.evictionRequested.Load() { // requestEviction interrupted the read
-			return true
-		}
-		if r.conn.hasOpenStreams() { // keep the connection open until they are answered
-			r.restartGrace()
-			return true
-		}
-		if len(r.buffer.Bytes()) > 0 {
-			r.conn.discardInput(errFrameTooSlow)
-		}
+	case isTimeout(err) && time.Now().Before(deadline): // another goroutine interrupted the read
+		return true
+	case isTimeout(err) && r.conn.evictionRequested.Load():
+		return true
+	case isTimeout(err) && r.conn.hasOpenStreams(): // keep the connection open until they are answered
+		r.restartGrace()
+		return true
+	case isTimeout(err) && !r.atFrameStart():
+		r.conn.discardInput(errFrameTooSlow)
 	}
 	r.conn.recordReadError(err)
 	return false
@@ -177,7 +192,7 @@
 func (r *frameReader) readBefore(deadline time.Time) (int, error) {
 	raw := r.conn.raw
 	raw.SetReadDeadline(deadline)
-	if r.conn.evictionRequested.Load() { // the deadline set above may have replaced the one that requestEviction set
+	if r.conn.evictionRequested.Load() || r.isFrameRevoked() { // the deadline set above may have replaced that of interruptRead
 		return 0, os.ErrDeadlineExceeded
 	}
 	n, err := r.buffer.Fill(raw)
@@ -188,59 +203,9 @@
 	return n, err
 }
 
-// awaitReadResumed waits while the client is stalled. It returns whether it had to wait, and whether the connection was closed
-// meanwhile. pending is input that was read and not handled yet.
-func (c *Conn) awaitReadResumed(pending []byte) (waited, closed bool) {
-	for c.readingStopped() {
-		waited = true
-		if c.peekForCancelOrClose(pending) {
-			return waited, true
-		}
-		select {
-		case <-c.readResumed:
-		case <-time.After(peekInterval):
-		case <-c.shutdown:
-			return waited, false
-		}
-	}
-	return waited, false
-}
-
 // readingStopped returns whether the reader has to wait because the client is stalled.
 func (c *Conn) readingStopped() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.stalled && !c.ended && c.disconnectedAt.IsZero()
 }
-
-// discardInput sends a last error on a connection from which no further frame can be read. Statements that were received before are
-// still answered. Input that arrives meanwhile is read and discarded, because the kernel drops unacknowledged answers when a
-// connection with unread bytes is closed.
-func (c *Conn) discardInput(reason error) {
-	c.setCloseReason(closeFramingLost)
-	c.sendConnError(reason)
-	c.framingLost.Store(true)
-	scratch := make([]byte, smallFrameBytes)
-	var deadline time.Time // zero until all answers are written
-	for deadline.IsZero() || time.Now().Before(deadline) {
-		if deadline.IsZero() && c.flushed() {
-			deadline = time.Now().Add(discardLinger)
-			c.closeWrite()
-		}
-		c.raw.SetReadDeadline(time.Now().Add(lateReadTimeout))
-		n, err := c.raw.Read(scratch)
-		if err != nil && !isTimeout(err) {
-			c.recordReadError(err)
-			return
-		}
-		if n > 0 { // read no faster than invalid frames are
-			time.Sleep(maxInvalidFrameDelay)
-		}
-		if c.clientClosed() { // also if input is still unread
-			return
-		}
-		if c.evictIfRequested(false) { // no statement is lost, since all input read here is discarded
-			return
-		}
-	}
-}
--- a/internal/downstream/idle_eviction.go
+++ b/internal/downstream/idle_eviction.go
@@ -60,7 +60,7 @@
 // so only the reader decides.
 func (c *Conn) requestEviction() {
 	c.evictionRequested.Store(true)
-	c.raw.SetReadDeadline(time.Now()) // interrupts a blocked read
+	c.interruptRead()
 }
 
 // evictIfRequested closes the connection if its eviction was requested and no client would lose an answer. hasInput tells whether the
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -44,11 +44,10 @@
 	// Violations records duplicate answers to a stream and statements that are lost because the server closes their connection.
 	Violations *invariant.Recorder
 
-	handler         Handler
-	log             *zap.Logger
-	connSlots       chan struct{} // a semaphore with one element for each open connection
-	freeFrameMemory atomic.Int64  // bytes that are still free for incomplete large frames
-	peekBuffers     sync.Pool     // of *[peekBytes]byte
+	handler     Handler
+	log         *zap.Logger
+	connSlots   chan struct{} // a semaphore with one element for each open connection
+	peekBuffers sync.Pool     // of *[peekBytes]byte
 
 	awaitingSlot atomic.Int64 // accepted connections that wait for a slot
 
@@ -64,10 +63,9 @@
 	slowClientLoggedAt time.Time
 }
 
-// New returns a server that keeps at most maxConnections connections open and at most frameMemory bytes of incomplete large frames in
-// memory.
-func New(handler Handler, maxConnections int, frameMemory int64, limits flowcontrol.Limits, log *zap.Logger) *Server {
-	s := &Server{
+// New returns a server that keeps at most maxConnections connections open.
+func New(handler Handler, maxConnections int, limits flowcontrol.Limits, log *zap.Logger) *Server {
+	return &Server{
 		Violations:  invariant.NewRecorder(log),
 		handler:     handler,
 		log:         log,
@@ -77,8 +75,6 @@
 		flow:        flowcontrol.NewController(limits),
 		connections: map[*Conn]struct{}{},
 	}
-	s.freeFrameMemory.Store(frameMemory)
-	return s
 }
 
 // Serve accepts connections until the listener is closed, then waits until all connections have ended. When ctx is cancelled, it
--- a/internal/downstream/slow_client.go
+++ b/internal/downstream/slow_client.go
@@ -27,17 +27,18 @@
 	Stalled      int64 // times that the server stopped reading from a client
 	Disconnected int64 // clients that were disconnected as too slow
 	Shortened    int64 // answers that a short abort replaced
+
+	SkippedFrames int64 // complete frames that were rejected, since no memory was left for them
 }
 
-// FlowControlStats returns the counts for slow clients and the bytes of answers and of statement texts that are in memory now.
-func (s *Server) FlowControlStats() (stats SlowClientStats, answerBytes, textBytes int64) {
+// FlowControlStats returns the counts for slow clients and what clients have in memory now.
+func (s *Server) FlowControlStats() (stats SlowClientStats, usage flowcontrol.Usage) {
 	s.mu.Lock()
 	stats = s.slowClients
 	s.mu.Unlock()
 	s.flowMu.Lock()
 	defer s.flowMu.Unlock()
-	answerBytes, textBytes, _ = s.flow.Usage()
-	return stats, answerBytes, textBytes
+	return stats, s.flow.Usage()
 }
 
 func (s *Server) updateSlowStats(update func(*SlowClientStats)) {
--- a/internal/downstream/stream.go
+++ b/internal/downstream/stream.go
@@ -20,9 +20,7 @@
 
 // handleFrame handles a complete frame.
 func (c *Conn) handleFrame(f frame) {
-	c.mu.Lock()
-	c.hasSentFrame = true
-	c.mu.Unlock()
+	c.markFrameReceived()
 	switch f.kind {
 	case frameReadinessQuery:
 		c.handleReadinessQuery(f.stream)
@@ -35,6 +33,13 @@
 	}
 }
 
+// markFrameReceived records that the client has sent a complete frame.
+func (c *Conn) markFrameReceived() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hasSentFrame = true
+}
+
 // handleReadinessQuery replies whether the router accepts statements.
 func (c *Conn) handleReadinessQuery(stream uint32) {
 	code := CodeRejected
--- a/internal/flowcontrol/controller.go
+++ b/internal/flowcontrol/controller.go
@@ -1,5 +1,5 @@
-// Package flowcontrol tracks the bytes of answers and statement texts that are in memory for each client, and decides when a client has
-// too many or reads its answers too slowly.
+// Package flowcontrol tracks the bytes of answers, statement texts and incomplete frames that are in memory for each client, and decides
+// when a client has too many or reads its answers too slowly.
 //
 // A Peer represents one connection, a host all connections from one address, and a Controller all hosts. The package only records bytes
 // and times and returns decisions: it does no I/O, reads no clock and starts no goroutine. Its types are not safe for concurrent use;
@@ -11,7 +11,9 @@
 	limits       Limits
 	answerBytes  int64
 	textBytes    int64
-	pendingHosts int // hosts with pending answers
+	frameBytes   int64
+	framePeers   []*Peer // peers with memory for a frame, in the order in which the frames began
+	pendingHosts int     // hosts with pending answers
 	hosts        map[string]*host
 }
 
@@ -21,7 +23,8 @@
 	peers        int
 	answerBytes  int64
 	textBytes    int64
-	pendingPeers int // peers with pending answers
+	frameBytes   int64 // without revoked frames
+	pendingPeers int   // peers with pending answers
 }
 
 // NewController returns a Controller without peers.
@@ -32,12 +35,21 @@
 // Limits returns the limits that were passed to NewController.
 func (c *Controller) Limits() Limits { return c.limits }
 
-// Usage returns the bytes of pending answers, the bytes of statement texts and the number of open peers.
-func (c *Controller) Usage() (answerBytes, textBytes int64, peers int) {
+// Usage is what all peers have in memory.
+type Usage struct {
+	AnswerBytes int64 // pending answers
+	TextBytes   int64 // statement texts
+	FrameBytes  int64 // large incomplete frames
+	Peers       int   // open peers
+}
+
+// Usage returns what all peers have in memory now.
+func (c *Controller) Usage() Usage {
+	usage := Usage{AnswerBytes: c.answerBytes, TextBytes: c.textBytes, FrameBytes: c.frameBytes}
 	for _, h := range c.hosts {
-		peers += h.peers
+		usage.Peers += h.peers
 	}
-	return c.answerBytes, c.textBytes, peers
+	return usage
 }
 
 // OpenPeer adds a connection from an address. The caller must call Peer.Close when the connection ends.
--- a/internal/flowcontrol/limits.go
+++ b/internal/flowcontrol/limits.go
@@ -6,6 +6,7 @@
 type Limits struct {
 	AnswerBytes     int64         // answers of all peers, queued or written and not yet acknowledged
 	TextBytes       int64         // statement texts of all peers
+	FrameBytes      int64         // large incomplete frames of all peers
 	SendBufferBytes int64         // bytes written to one peer and not yet acknowledged, above which writing pauses
 	MinReadRate     int64         // at which a peer must read its answers, averaged over ReadWindow
 	MinWriteRate    int64         // at which a frame must arrive after FrameGrace
@@ -16,8 +17,9 @@
 
 // The constants from which DeriveLimits computes the limits, and the rates and times that do not depend on the machine.
 const (
-	answerMemoryDivisor = 8 // 1/8 of the memory: queued answers are on the heap, and a full heap slows down every request
-	textMemoryDivisor   = 6 // 1/6 of the memory
+	answerMemoryDivisor = 8  // 1/8 of the memory: queued answers are on the heap, and a full heap slows down every request
+	textMemoryDivisor   = 6  // 1/6 of the memory
+	frameMemoryDivisor  = 12 // 1/12 of the memory
 	minSendBufferBytes  = 16 << 10
 	maxSendBufferBytes  = 64 << 10 // holds a complete result and the beginning of the next one
 	defaultMinReadRate  = 1 << 10
@@ -36,6 +38,7 @@
 	return Limits{
 		AnswerBytes:     answerBytes,
 		TextBytes:       memory / textMemoryDivisor,
+		FrameBytes:      memory / frameMemoryDivisor,
 		SendBufferBytes: min(max(perPeer, minSendBufferBytes), maxSendBufferBytes),
 		MinReadRate:     defaultMinReadRate,
 		MinWriteRate:    defaultMinWriteRate,
--- a/internal/flowcontrol/peer.go
+++ b/internal/flowcontrol/peer.go
@@ -19,6 +19,7 @@
 	queuedBytes     int64 // answers not written yet
 	sendBufferBytes int64 // written and, at the last check, not yet acknowledged
 	textBytes       int64
+	frame           frame // the incomplete frame
 	receivedBytes   int64 // acknowledged since the connection was opened
 	refused         bool  // TryQueue refused an answer; the peer is stalled until at most half of Limits.AnswerBytes is in use
 	readRate        rateMeter
@@ -33,6 +34,7 @@
 	p.addPending(-p.PendingBytes())
 	p.queuedBytes = 0
 	p.sendBufferBytes = 0
+	p.ReleaseFrame()
 	p.closed = true
 	p.host.peers--
 	p.removeIdleHost()
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -89,7 +89,7 @@
 func (r *Router) logMetrics() {
 	m := &r.metrics
 	decisions := max(1, m.decisions.Swap(0))
-	slowClients, answerBytes, textBytes := r.downstream.FlowControlStats()
+	slowClients, usage := r.downstream.FlowControlStats()
 	r.log.Info(logevent.Metrics,
 		zap.Int64("received", m.received.Load()),
 		zap.Int64("open", m.open.Load()),
@@ -106,8 +106,10 @@
 		zap.Int64("evicted_clients", r.downstream.Evicted()),
 		zap.Int("engine_connections", r.upstream.ConnectionsInUse()),
 		zap.Any("connections", r.upstream.TakeConnectionStats()),
-		zap.Int64("text_bytes", textBytes),
-		zap.Int64("answer_bytes", answerBytes),
+		zap.Int64("text_bytes", usage.TextBytes),
+		zap.Int64("answer_bytes", usage.AnswerBytes),
+		zap.Int64("frame_bytes", usage.FrameBytes),
+		zap.Int64("frames_skipped", slowClients.SkippedFrames),
 		zap.Int64("slow_clients_stalled", slowClients.Stalled),
 		zap.Int64("slow_clients_released", slowClients.Disconnected),
 		zap.Int64("slow_clients_shortened", slowClients.Shortened),
--- a/internal/proxy/resource_limits.go
+++ b/internal/proxy/resource_limits.go
@@ -14,23 +14,21 @@
 	reservedSockets      = 24   // descriptors for the listener, the control feed, the log and the Go runtime
 	attemptSocketShare   = 0.85 // share of the engines' descriptors for attempts; the rest is for cancels and health checks
 
-	partialFrameDivisor = 12  // 1/12 of the memory is for large frames that are not completely received
-	fingerprintDivisor  = 32  // 1/32 of the memory is for the history of query fingerprints
-	answeredIDsPerMB    = 64  // remembered ids of answered requests per MB of memory
-	maxEstimateFactor   = 4   // a request may declare at most this multiple of the largest machine's memory
-	memoryLimitShare    = 0.6 // share of the memory that is the runtime's soft limit: near it, garbage collections become more frequent
-	gcPercent           = 400 // heap growth between two garbage collections while the heap is far below that limit
+	fingerprintDivisor = 32  // 1/32 of the memory is for the history of query fingerprints
+	answeredIDsPerMB   = 64  // remembered ids of answered requests per MB of memory
+	maxEstimateFactor  = 4   // a request may declare at most this multiple of the largest machine's memory
+	memoryLimitShare   = 0.6 // share of the memory that is the runtime's soft limit: near it, garbage collections become more frequent
+	gcPercent          = 400 // heap growth between two garbage collections while the heap is far below that limit
 )
 
 // resourceLimits holds the limit for each use of the machine's resources.
 type resourceLimits struct {
-	clientSockets     int
-	engineSockets     int
-	attempts          int   // in flight at once
-	partialFrameBytes int64 // of large frames that are not completely received, over all connections
-	fingerprintBytes  int64
-	answeredIDs       int // remembered
-	flowControl       flowcontrol.Limits
+	clientSockets    int
+	engineSockets    int
+	attempts         int // in flight at once
+	fingerprintBytes int64
+	answeredIDs      int // remembered
+	flowControl      flowcontrol.Limits
 
 	cores            float64
 	memoryLimitBytes int64
@@ -41,15 +39,14 @@
 	clientSockets := machine.Sockets / clientSocketsDivisor
 	engineSockets := machine.Sockets - clientSockets - reservedSockets
 	return resourceLimits{
-		clientSockets:     clientSockets,
-		engineSockets:     engineSockets,
-		attempts:          int(attemptSocketShare * float64(engineSockets)),
-		partialFrameBytes: memoryBytes / partialFrameDivisor,
-		fingerprintBytes:  memoryBytes / fingerprintDivisor,
-		answeredIDs:       answeredIDsPerMB * int(machine.MemoryMB),
-		flowControl:       flowcontrol.DeriveLimits(machine.MemoryMB, clientSockets),
-		cores:             machine.Cores,
-		memoryLimitBytes:  int64(memoryLimitShare * float64(memoryBytes)),
+		clientSockets:    clientSockets,
+		engineSockets:    engineSockets,
+		attempts:         int(attemptSocketShare * float64(engineSockets)),
+		fingerprintBytes: memoryBytes / fingerprintDivisor,
+		answeredIDs:      answeredIDsPerMB * int(machine.MemoryMB),
+		flowControl:      flowcontrol.DeriveLimits(machine.MemoryMB, clientSockets),
+		cores:            machine.Cores,
+		memoryLimitBytes: int64(memoryLimitShare * float64(memoryBytes)),
 	}
 }
 
--- a/internal/proxy/router.go
+++ b/internal/proxy/router.go
@@ -96,7 +96,7 @@
 		violations:        invariant.NewRecorder(log),
 	}
 	r.analysers.New = func() any { return new(sqltext.Analyser) }
-	r.downstream = downstream.New(r, limits.clientSockets, limits.partialFrameBytes, limits.flowControl, log)
+	r.downstream = downstream.New(r, limits.clientSockets, limits.flowControl, log)
 	r.downstream.Violations = r.violations
 	r.loop = newEventLoop(r)
 	return r
--- a/internal/readbuffer/buffer.go
+++ b/internal/readbuffer/buffer.go
@@ -29,6 +29,36 @@
 // Bytes returns the bytes that were read and not yet discarded. The slice is valid until the next Fill.
 func (b *Buffer) Bytes() []byte { return b.data[b.start:b.end] }
 
+// Size returns the bytes of memory that the buffer occupies.
+func (b *Buffer) Size() int { return len(b.data) }
+
+// IsFull returns whether the next Fill would need a larger buffer.
+func (b *Buffer) IsFull() bool { return b.start == 0 && b.end == len(b.data) }
+
+// GrownSize returns the size to which a full buffer should grow for content of the given number of bytes in total: twice its size, but no
+// more than that number.
+func (b *Buffer) GrownSize(content int) int {
+	return min(b.maxSize, max(initialSize, min(2*len(b.data), content)))
+}
+
+// Grow enlarges the buffer to size bytes. It does nothing if the buffer is at least as large.
+func (b *Buffer) Grow(size int) {
+	if size <= len(b.data) {
+		return
+	}
+	grown := make([]byte, size)
+	b.end = copy(grown, b.Bytes())
+	b.start = 0
+	b.data = grown
+}
+
+// Shrink releases the memory of an empty buffer that is larger than size bytes.
+func (b *Buffer) Shrink(size int) {
+	if b.start == b.end && len(b.data) > size {
+		b.data = nil
+	}
+}
+
 // Discard discards the first n bytes of Bytes.
 func (b *Buffer) Discard(n int) {
 	b.start += n
@@ -37,9 +67,7 @@
 	}
 	b.start = 0
 	b.end = 0
-	if len(b.data) > maxRetainedSize {
-		b.data = nil
-	}
+	b.Shrink(maxRetainedSize)
 }
 
 // Fill calls r.Read once, appends the result to the buffer and returns the number of bytes read. It returns the error of r, or ErrFull.
@@ -64,8 +92,6 @@
 	if len(b.data) >= b.maxSize {
 		return ErrFull
 	}
-	grown := make([]byte, min(b.maxSize, max(initialSize, 2*len(b.data))))
-	copy(grown, b.data[:b.end])
-	b.data = grown
+	b.Grow(b.GrownSize(b.maxSize))
 	return nil
 }
