Control feed: connections are opened concurrently, so a slow feed is read

Callers saw statements sent to an engine long after its drain: a feed that answers each call after 3 s was never read, since each call was given up after 1.25 to 2.5 s. And a feed that accepts no connections delayed events on the open one by up to 0.5 s, since a second one was dialled on the goroutine that reads the first.

Cause: one connection at a time, and one timeout for two needs: to notice that a connection is dead, and to let the feed respond.

pendingStreams opens one more connection at each timeout and closes none for it; the first that delivers a line is read. The current connection is read until its replacement has delivered a line.

Before (scratch copy), the new tests TestWatchReplacesSilentStream/slow_to_respond_on_each_connection and TestCurrentStreamIsReadWhileReplacementIsSilent failed. TestFirstLineTimeout has the same checks; its counter has moved from Client to pendingStreams.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -31,13 +31,15 @@
 	onEvent     func(WatchEvent) // called by Watch for each event with a list
 	log         *zap.Logger
 
-	startTimes       startTimes
-	syncedAt         time.Time                   // when the client last knew all events of the feed; zero: never yet
-	conn             atomic.Pointer[net.TCPConn] // the connection that is being read
-	reading          atomic.Bool                 // a read is in progress, so everything read before it was handled
-	stream           *monitoredConn              // wraps conn; used only by the goroutine of Watch
-	spare            net.Conn                    // an open connection that replaces conn; nil: none
-	emptyConnections int                         // number of consecutive connections that delivered no line
+	startTimes  startTimes
+	syncedAt    time.Time                   // when the client last knew all events of the feed; zero: never yet
+	conn        atomic.Pointer[net.TCPConn] // the connection that is being read
+	reading     atomic.Bool                 // a read is in progress, so everything read before it was handled
+	stream      *monitoredConn              // wraps conn; used only by the goroutine of Watch
+	pending     *pendingStreams             // used only by the goroutine of Watch
+	replacement *openedStream               // replaces stream; nil: none
+
+	replacementOpened atomic.Bool // a pending stream has delivered its first line
 
 	eventErrors  int  // number of failed attempts to parse the next event
 	gapRequested bool // the events missing before the next one were already requested again
@@ -139,40 +141,76 @@
 // Watch follows the feed until ctx is done. It replaces a connection that ends or falls silent immediately, and with increasing backoff
 // while nothing is received. The returned error is always nil.
 func (c *Client) Watch(ctx context.Context) error {
-	defer c.closeSpare()
-	var retry backoff
+	c.pending = newPendingStreams(openStream, c.interruptRead)
+	defer c.pending.stop()
+	defer c.closeReplacement()
 	for ctx.Err() == nil {
-		connCtx, cancel, addressChanged := c.applyAddressChange(ctx)
+		streamCtx, cancel, addressChanged := c.applyAddressChange(ctx)
 		if addressChanged {
-			c.closeSpare() // it is connected to the old address
-			c.emptyConnections = 0
-			retry.reset()
-		}
-		lastEventID := c.LastEventID
-		began := time.Now()
-		err := c.watchOnce(connCtx)
-		replaced := errors.Is(err, errReplaced)
-		if replaced || c.LastEventID > lastEventID || time.Since(began) > initialLineTimeout/2 { // the connection was established
-			retry.reset()
+			c.closeReplacement()
+			c.pending.restart() // its streams are connected to the old address
 		}
-		if !replaced {
-			c.waitBackoff(connCtx, err, retry.delay)
-			retry.increase()
+		if opened := c.awaitStream(ctx, streamCtx); opened != nil {
+			c.followUntilLost(ctx, streamCtx, opened)
 		}
 		cancel()
 	}
 	return nil
 }
 
-// waitBackoff logs why a connection was lost, and waits for the delay or until ctx is done.
-func (c *Client) waitBackoff(ctx context.Context, cause error, delay time.Duration) {
+func (c *Client) closeReplacement() {
+	c.replacement.close()
+	c.replacement = nil
+}
+
+// awaitStream returns a stream whose first line has arrived, or nil if ctx is done first. Streams that are opened live until watchCtx is
+// done.
+func (c *Client) awaitStream(watchCtx, ctx context.Context) *openedStream {
+	if opened := c.replacement; opened != nil {
+		c.replacement = nil
+		return opened
+	}
+	for ctx.Err() == nil {
+		now := time.Now()
+		if waiting := c.pending.openIfDue(watchCtx, now, c.nextRequest()); waiting > 0 {
+			c.log.Warn(logevent.ControlFeedSlow, zap.Int("waiting", waiting), zap.Int64("last_event_id", c.LastEventID))
+		}
+		opened, retryDelay, err := c.takeOpened(now)
+		switch {
+		case opened != nil:
+			return opened
+		case err != nil:
+			c.logLost(ctx, err, retryDelay)
+			continue
+		}
+		select {
+		case <-c.pending.changed:
+		case <-time.After(time.Until(c.pending.nextOpenAt)):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// followUntilLost reads the events of a stream until it ends, and plans when the next one is opened.
+func (c *Client) followUntilLost(watchCtx, ctx context.Context, opened *openedStream) {
+	lastEventID := c.LastEventID
+	began := time.Now()
+	err := c.follow(watchCtx, ctx, opened)
+	replaced := errors.Is(err, errReplaced)
+	if replaced || c.LastEventID > lastEventID || time.Since(began) > initialLineTimeout/2 { // the connection was established
+		c.pending.retry.reset()
+	}
+	if !replaced {
+		c.logLost(ctx, err, c.pending.scheduleRetry(time.Now()))
+	}
+}
+
+// logLost logs why a connection was lost, unless ctx is done.
+func (c *Client) logLost(ctx context.Context, cause error, retryDelay time.Duration) {
 	if ctx.Err() == nil {
 		c.log.Warn(logevent.ControlFeedLost,
-			zap.Error(cause), zap.Int64("last_event_id", c.LastEventID), logevent.Milliseconds("backoff_ms", delay))
-	}
-	select {
-	case <-time.After(delay):
-	case <-ctx.Done():
+			zap.Error(cause), zap.Int64("last_event_id", c.LastEventID), logevent.Milliseconds("backoff_ms", retryDelay))
 	}
 }
 
--- a/internal/discovery/harness_test.go
+++ b/internal/discovery/harness_test.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// respondAfter returns a script that writes a text after a delay.
+func respondAfter(delay time.Duration, text string) script {
+	return func(conn net.Conn, closed <-chan struct{}) {
+		select {
+		case <-time.After(delay):
+			io.WriteString(conn, text)
+			<-closed
+		case <-closed:
+		}
+	}
+}
+
 // serveScripts starts a control feed. Each connection follows the next script; further connections follow the last one. It returns the
 // feed's address and a channel of the Last-Event-ID of each request.
 func serveScripts(t *testing.T, scripts ...script) (address string, requested <-chan string) {
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -14,8 +14,6 @@
 const (
 	// silenceTimeout is the time without a complete line after which a stream counts as dead. The feed sends a comment every second.
 	silenceTimeout = 2500 * time.Millisecond
-	// initialLineTimeout is the timeout for the first line on a new connection. It increases by half after each connection without a line.
-	initialLineTimeout = 1250 * time.Millisecond
 	// progressBytes is how many bytes of an incomplete line also count as progress, since an event may be long.
 	progressBytes = 4 << 10
 	// lineEndBytes are the bytes that end a line of server-sent events.
@@ -27,7 +25,7 @@
 	eventTimeout = 4 * time.Second
 )
 
-// errReplaced is returned by Read when the spare connection replaces the connection.
+// errReplaced is returned by Read when another stream replaces the connection.
 var errReplaced = errors.New("connection was replaced by another one")
 
 // monitoredConn is a connection whose reads fail after a time without progress. Not every byte counts as progress: a line that arrives one
@@ -41,11 +39,12 @@
 	bodyStarted        bool      // lines of the response's body have arrived
 	lastEvent          time.Time // when the last event was received, or the connection began to be read
 	reading            *atomic.Bool
-	connectReplacement func() bool // opens a connection that may replace this one
+	interrupted        *atomic.Bool // a replacement was opened
+	connectReplacement func() bool  // opens a connection that may replace this one, and returns whether one has delivered a line
 }
 
 // Read reads from the connection. It fails with os.ErrDeadlineExceeded after a time without progress, and with errReplaced if there is
-// progress but no event and a replacement connection could be opened.
+// progress but another connection, opened since there was no event, has delivered its first line.
 func (l *monitoredConn) Read(p []byte) (int, error) {
 	for {
 		n, err := l.readBefore(p, l.deadline())
@@ -67,6 +66,9 @@
 	l.reading.Store(true)
 	defer l.reading.Store(false)
 	l.SetReadDeadline(deadline)
+	if l.interrupted.Load() { // the deadline set above may have replaced the one that ends the read
+		l.SetReadDeadline(time.Now())
+	}
 	n, err := l.Conn.Read(p)
 	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
--- a/internal/discovery/stream_test.go
+++ b/internal/discovery/stream_test.go
@@ -32,6 +32,7 @@
 		{"a header that arrives a byte at a time", []script{sendRepeatedly("HTTP/1.1 200 OK\r\nX: ", "x", 200*time.Millisecond), next}},
 		{"comments and no events", []script{comments, next}},
 		{"comments and no events, then silent", []script{comments, silent, next}},
+		{"slow to respond on each connection", []script{respondAfter(3*time.Second, responseHead+eventText("5", "5"))}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -51,12 +52,39 @@
 	}
 }
 
+// Guards against events that are handled late: while a new connection did not respond, the current one was not read.
+func TestCurrentStreamIsReadWhileReplacementIsSilent(t *testing.T) {
+	replacementRequested := make(chan struct{})
+	current := func(conn net.Conn, closed <-chan struct{}) {
+		io.WriteString(conn, responseHead)
+		for {
+			io.WriteString(conn, ":\n\n")
+			select {
+			case <-replacementRequested:
+				io.WriteString(conn, eventText("5", "5"))
+				<-closed
+				return
+			case <-time.After(time.Second):
+			case <-closed:
+				return
+			}
+		}
+	}
+	address, requested := serveScripts(t, current, sendOnce(""))
+	client, handled := newTestClient(address, 4)
+	watch(t, client)
+	require.Equal(t, "4", await(t, requested))
+	require.Equal(t, "4", await(t, requested), "the replacement")
+	close(replacementRequested)
+	assert.Equal(t, int64(5), await(t, handled))
+}
+
 // The timeout for the first line increases while the feed is slow to respond.
 func TestFirstLineTimeout(t *testing.T) {
-	client := &Client{}
+	pending := &pendingStreams{}
 	for _, want := range []time.Duration{initialLineTimeout, initialLineTimeout * 3 / 2, silenceTimeout, silenceTimeout} {
-		assert.Equal(t, want, client.firstLineTimeout().Round(time.Microsecond))
-		client.emptyConnections++
+		assert.Equal(t, want, pending.firstLineTimeout().Round(time.Microsecond))
+		pending.emptyConnections++
 	}
 }
 
@@ -73,6 +101,7 @@
 		bodyStarted:     true,
 		lastEvent:       time.Now().Add(-eventTimeout),
 		reading:         new(atomic.Bool),
+		interrupted:     new(atomic.Bool),
 		connectReplacement: func() bool {
 			attempts++
 			return attempts > 1
--- a/internal/discovery/suspension_test.go
+++ b/internal/discovery/suspension_test.go
@@ -42,6 +42,7 @@
 		bodyStarted:     true,
 		lastEvent:       time.Now().Add(-time.Minute),
 		reading:         &watcher.reading,
+		interrupted:     &watcher.replacementOpened,
 	}
 	received := make([]byte, 1000)
 	n, err := stream.Read(received)
--- a/internal/logevent/events.go
+++ b/internal/logevent/events.go
@@ -57,6 +57,7 @@
 	EndpointListChanged       = "endpoint list changed"
 	ControlFeedAddressChanged = "control feed address changed"
 	ControlFeedLost           = "control feed connection lost"
+	ControlFeedSlow           = "control feed has not responded yet"
 	ControlFeedEventSkipped   = "control feed event skipped"
 )
 
