Large statements: no copy for each attempt, and one read buffer for each

Cause: garbage, not what is bounded: text, answer and frame bytes were within their limits. Each statement allocated 970 KB: a buffer that doubled from 4 KB up, the text, and a copy of the text in the request of each attempt.

A read buffer now grows at once to what has arrived, and a request with a large body is written from the statement's text.

--- a/cmd/bankledge/measurement_test.go
+++ b/cmd/bankledge/measurement_test.go
@@ -174,13 +174,24 @@
 }
 
 // residentKB returns the process's resident memory, or 0 if it has ended.
-func residentKB(r *routerProcess) (kb int64) {
+func residentKB(r *routerProcess) (kb int64) { return processStatusKB(r, "VmRSS:") }
+
+// peakResidentKB returns the process's peak resident memory. The process must be running.
+func peakResidentKB(t *testing.T, r *routerProcess) (kb int64) {
+	t.Helper()
+	kb = processStatusKB(r, "VmHWM:")
+	require.Positive(t, kb)
+	return kb
+}
+
+// processStatusKB returns a value of the process's status, or 0 if the process has ended.
+func processStatusKB(r *routerProcess, name string) (kb int64) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
 	if err != nil {
 		return 0
 	}
-	if i := strings.Index(string(status), "VmRSS:"); i >= 0 {
-		fmt.Sscan(string(status[i+len("VmRSS:"):]), &kb)
+	if i := strings.Index(string(status), name); i >= 0 {
+		fmt.Sscan(string(status[i+len(name):]), &kb)
 	}
 	return kb
 }
--- a/internal/downstream/frame_memory.go
+++ b/internal/downstream/frame_memory.go
@@ -28,7 +28,7 @@
 	if r.skipRevokedFrame() || !r.buffer.IsFull() {
 		return true
 	}
-	size := r.buffer.GrownSize(declaredFrameSize(r.buffer.Bytes()))
+	size := r.buffer.GrownSize(r.conn.unreadBytes(), declaredFrameSize(r.buffer.Bytes()))
 	if size > smallFrameBytes && !r.reserveMemory(int64(size)) {
 		r.skipFrame()
 		return true
--- a/internal/readbuffer/buffer.go
+++ b/internal/readbuffer/buffer.go
@@ -35,10 +35,11 @@
 // IsFull returns whether the next Fill would need a larger buffer.
 func (b *Buffer) IsFull() bool { return b.start == 0 && b.end == len(b.data) }
 
-// GrownSize returns the size to which a full buffer should grow for content of the given number of bytes in total: twice its size, but no
-// more than that number.
-func (b *Buffer) GrownSize(content int) int {
-	return min(b.maxSize, max(initialSize, min(2*len(b.data), content)))
+// GrownSize returns the size to which a full buffer should grow if available further bytes can be read now and its content will have the
+// given number of bytes in total: the size that holds what is available, and at least twice the present size, but no more than the content.
+func (b *Buffer) GrownSize(available, content int) int {
+	wanted := max(2*len(b.data), len(b.Bytes())+available)
+	return min(b.maxSize, max(initialSize, min(wanted, content)))
 }
 
 // Grow enlarges the buffer to size bytes. It does nothing if the buffer is at least as large.
@@ -92,6 +93,6 @@
 	if len(b.data) >= b.maxSize {
 		return ErrFull
 	}
-	b.Grow(b.GrownSize(b.maxSize))
+	b.Grow(b.GrownSize(0, b.maxSize))
 	return nil
 }
--- a/internal/readbuffer/buffer_test.go
+++ b/internal/readbuffer/buffer_test.go
@@ -44,3 +44,19 @@
 		})
 	}
 }
+
+// A buffer grows to what can be read, at least to twice its size, and no further than its content needs.
+func TestGrownSize(t *testing.T) {
+	b := New(100 * initialSize)
+	b.Grow(initialSize)
+	b.end = initialSize
+	for _, c := range []struct{ available, content, want int }{
+		{0, 100 * initialSize, 2 * initialSize},
+		{0, initialSize + 1, initialSize + 1},
+		{10 * initialSize, 100 * initialSize, 11 * initialSize},
+		{10 * initialSize, 5 * initialSize, 5 * initialSize},
+		{1000 * initialSize, 1000 * initialSize, 100 * initialSize},
+	} {
+		assert.Equal(t, c.want, b.GrownSize(c.available, c.content))
+	}
+}
--- a/internal/upstream/attempt_cancel.go
+++ b/internal/upstream/attempt_cancel.go
@@ -142,8 +142,8 @@
 	if err != nil {
 		return false
 	}
-	request := formatRequest(http.MethodDelete, a.resourcePath, conn.address, nil)
-	received, err := conn.roundTrip(time.Now().Add(pollTimeout), request)
+	cancellation := formatRequest(http.MethodDelete, a.resourcePath, conn.address, nil)
+	received, err := conn.roundTrip(time.Now().Add(pollTimeout), cancellation)
 	a.client.log.Debug(logevent.UpstreamCancelAnswered, logevent.RequestID(a.Statement), logevent.Endpoint(a.Engine),
 		logevent.Duration(time.Since(a.createdAt)), zap.Int("status", received.Status), zap.Error(err))
 	if err != nil {
--- a/internal/upstream/attempt_poll.go
+++ b/internal/upstream/attempt_poll.go
@@ -180,10 +180,10 @@
 }
 
 // roundTrip sends a request on the attempt's connection, and closes the connection if it must not be used again.
-func (a *Attempt) roundTrip(timeout time.Duration, request []byte) (response, error) {
+func (a *Attempt) roundTrip(timeout time.Duration, sent request) (response, error) {
 	now := time.Now()
 	a.lastRequest.store(a.client.clockOrigin, now)
-	received, err := a.conn.roundTrip(now.Add(timeout), request)
+	received, err := a.conn.roundTrip(now.Add(timeout), sent)
 	if err != nil {
 		a.abortConnection()
 		return received, err
--- a/internal/upstream/attempt_start.go
+++ b/internal/upstream/attempt_start.go
@@ -44,7 +44,7 @@
 // no longer reads from a connection that it has closed itself.
 func resetByRouter(err error) bool { return isTimeout(err) || errors.Is(err, net.ErrClosed) }
 
-func (a *Attempt) formatStart(timeLeft time.Duration) []byte {
+func (a *Attempt) formatStart(timeLeft time.Duration) request {
 	return formatRequest(http.MethodPost, startPath, a.conn.address, a.Text,
 		headerField{headerStatementID, string(a.Statement)},
 		headerField{headerWorkload, a.Workload},
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -16,8 +16,29 @@
 // maxPageBytes is the maximum size of a response body: the protocol's limit for a result page.
 const maxPageBytes = 6_000
 
-// requestHeaderBytes is the buffer capacity reserved for a request's start line and headers.
-const requestHeaderBytes = 256
+const (
+	// requestHeaderBytes is the buffer capacity reserved for a request's start line and headers.
+	requestHeaderBytes = 256
+	// maxCopiedBody is the size of the largest body that is copied behind the headers, to be written by a plain write.
+	maxCopiedBody = 4 << 10
+)
+
+// request is the bytes of one request.
+type request struct {
+	head []byte // start line, headers and a small body
+	body []byte // a large body
+}
+
+// writeTo writes the request and returns whether all of it was written.
+func (r request) writeTo(socket net.Conn) (written bool, err error) {
+	if len(r.body) == 0 {
+		n, err := socket.Write(r.head)
+		return n == len(r.head), err
+	}
+	parts := net.Buffers{r.head, r.body}
+	n, err := parts.WriteTo(socket)
+	return n == int64(len(r.head)+len(r.body)), err
+}
 
 // connection is one connection to an engine, used by one request at a time.
 type connection struct {
@@ -39,11 +60,11 @@
 }
 
 // roundTrip writes one request and reads its response.
-func (c *connection) roundTrip(deadline time.Time, request []byte) (response, error) {
+func (c *connection) roundTrip(deadline time.Time, sent request) (response, error) {
 	c.socket.SetDeadline(deadline)
-	written, err := c.socket.Write(request)
+	written, err := sent.writeTo(c.socket)
 	if err != nil {
-		return response{requestWritten: written == len(request)}, err
+		return response{requestWritten: written}, err
 	}
 	received := response{requestWritten: true}
 	received.Header, received.body, err = c.reader.ReadResponse(maxPageBytes)
@@ -116,15 +137,18 @@
 // headerField is one header of a request.
 type headerField struct{ name, value string }
 
-// formatRequest returns the bytes of a request, with the headers in the given order after Host.
-func formatRequest(method, path, host string, body []byte, fields ...headerField) []byte {
-	var request bytes.Buffer
-	request.Grow(requestHeaderBytes + len(body))
-	request.WriteString(method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n")
+// formatRequest returns a request, with the headers in the given order after Host. A large body is not copied.
+func formatRequest(method, path, host string, body []byte, fields ...headerField) request {
+	var head bytes.Buffer
+	head.Grow(requestHeaderBytes + min(len(body), maxCopiedBody))
+	head.WriteString(method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	for _, field := range fields {
-		request.WriteString(field.name + ": " + field.value + "\r\n")
+		head.WriteString(field.name + ": " + field.value + "\r\n")
+	}
+	head.WriteString("\r\n")
+	if len(body) > maxCopiedBody {
+		return request{head: head.Bytes(), body: body}
 	}
-	request.WriteString("\r\n")
-	request.Write(body)
-	return request.Bytes()
+	head.Write(body)
+	return request{head: head.Bytes()}
 }
