Ids of statements that may have run are remembered when their client leaves

Cause: ids were remembered when the answer is sent. A request whose client leaves has none, so its id was forgotten once the cancellation of its attempt was confirmed.

The id is now remembered when the record of a request that may have run is removed. TestIDOfCancelledRequestIsNotUsedAgain (four ways to leave, two classes) failed before in each case: 2 starts, want 1. Tests of internal/proxy pass with -race.

--- a/internal/proxy/cancellation_test.go
+++ b/internal/proxy/cancellation_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bankledge/decision"
+	"bankledge/internal/downstream"
 	"bankledge/internal/fakes"
 	"bankledge/internal/faultlab"
 )
@@ -188,6 +189,45 @@
 	})
 }
 
+// Guards against a statement that runs twice: its id was forgotten when its client had left and its attempt had ended, so that it was started
+// again when it came again.
+func TestIDOfCancelledRequestIsNotUsedAgain(t *testing.T) {
+	for departure, leave := range departures {
+		for _, workload := range []string{"price-load", "lookup"} {
+			t.Run(departure+", "+workload, func(t *testing.T) {
+				t.Parallel()
+				cancelled := make(chan struct{})
+				engine := fakes.NewEngine("e", map[string][]fakes.Step{
+					"POST":   {fakes.RespondAfter(cancelled, fakes.Respond(202, "")), fakes.RespondResult("second run\n")},
+					"DELETE": {fakes.Respond(204, "")},
+				})
+				t.Cleanup(engine.Close)
+				feed := fakes.NewControlFeed()
+				t.Cleanup(feed.Close)
+				r := startRouter(t, fakes.Config(feedAddress(feed), fakes.Settings, 64, 256, member(engine, "active")))
+				first := r.send(t, workload, "1")
+				r.await(t, "the first attempt has started", func() bool { return engine.CallCount("POST") == 1 })
+				leave(first)
+				r.await(t, "the engine receives the cancellation", func() bool { return engine.CallCount("DELETE") > 0 })
+				expectRejection(t, r.send(t, workload, "1"), "while the attempt is in flight")
+				close(cancelled)
+				r.await(t, "the attempt has ended", func() bool { return r.metrics.outcomes.count(decision.Cancelled) == 1 })
+				expectRejection(t, r.send(t, workload, "1"), "after the attempt has ended")
+				assert.Equal(t, 1, engine.CallCount("POST"))
+			})
+		}
+	}
+}
+
+// expectRejection reads one answer, which must be a rejection.
+func expectRejection(t *testing.T, conn net.Conn, when string) {
+	t.Helper()
+	answer, err := fakes.ReadFrame(bufio.NewReader(conn))
+	require.NoError(t, err, when)
+	assert.Equal(t, byte(downstream.CodeRejected), answer.Code, when)
+	assert.Equal(t, "id is in use", answer.Body, when)
+}
+
 // A deduplicated request that may have run is retried on another engine only within the deduplication window of its first attempt. If the
 // connection to that engine is established only after the window, nothing is sent, and the request is rejected when the window ends.
 func TestRetryIsNotSentAfterDeduplicationWindow(t *testing.T) {
--- a/internal/proxy/reply.go
+++ b/internal/proxy/reply.go
@@ -44,7 +44,7 @@
 		l.router.violations.Record(violation)
 		return
 	}
-	l.requests.recordAnswer(req)
+	l.requests.rememberID(req)
 	l.finish(req)
 	if stalled := req.client.Answer(req.stream, code, body); stalled {
 		l.followUps = append(l.followUps, decision.ClientReadStateChanged{Statements: l.requests.openRequestIDs(req.client)})
--- a/internal/proxy/request_record.go
+++ b/internal/proxy/request_record.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -50,10 +51,18 @@
 	if !req.finished || req.attemptsInFlight != 0 {
 		return
 	}
+	if req.mayHaveRun() {
+		l.requests.rememberID(req)
+	}
 	l.requests.remove(req)
 	req.client.ReleaseText(len(req.text))
 }
 
+// mayHaveRun reports whether an ended attempt may have run at an engine.
+func (req *request) mayHaveRun() bool {
+	return slices.ContainsFunc(req.outcomes, func(outcome decision.Outcome) bool { return !isKnownNotRun(outcome) })
+}
+
 // attemptEnded is the end of an attempt.
 type attemptEnded struct {
 	event  decision.AttemptEnded
--- a/internal/proxy/request_table.go
+++ b/internal/proxy/request_table.go
@@ -14,14 +14,14 @@
 type requestTable struct {
 	byID     map[decision.StatementID]*request // all requests whose record is kept
 	byClient map[client]openStreams            // the unfinished ones among them
-	answered recentIDs
+	finished recentIDs
 }
 
 func newRequestTable(answeredIDs int) requestTable {
 	return requestTable{
 		byID:     map[decision.StatementID]*request{},
 		byClient: map[client]openStreams{},
-		answered: recentIDs{generationSize: answeredIDs / 2},
+		finished: recentIDs{generationSize: answeredIDs / 2},
 	}
 }
 
@@ -33,7 +33,7 @@
 
 // isIDInUse reports whether an engine may hold another request with this id.
 func (t *requestTable) isIDInUse(id decision.StatementID) bool {
-	return t.byID[id] != nil || t.answered.has(id)
+	return t.byID[id] != nil || t.finished.has(id)
 }
 
 func (t *requestTable) add(req *request) {
@@ -46,10 +46,10 @@
 	streams[req.stream] = req
 }
 
-// recordAnswer remembers the id of an answered request.
-func (t *requestTable) recordAnswer(req *request) {
+// rememberID remembers the id of a request that was answered or may have run.
+func (t *requestTable) rememberID(req *request) {
 	if t.byID[req.id] == req {
-		t.answered.add(req.id)
+		t.finished.add(req.id)
 	}
 }
 
@@ -81,8 +81,8 @@
 	return ids
 }
 
-// recentIDs remembers the ids of the most recently answered requests: an engine may still hold their results and would return them for
-// another request with the same id. When the newer of the two generations is full, the older one is discarded.
+// recentIDs remembers the ids of the most recent requests that were answered or may have run: a statement must not run again under its id,
+// and an engine may still hold the result and would return it for another request with the same id. When the newer of the two generations is full, the older one is discarded.
 type recentIDs struct {
 	generationSize int
 	newer, older   map[decision.StatementID]struct{}
