Attempts: the client is asked for right before the first byte

A close with much unread input before it was seen late as well.

Cause: the check before the first byte knew of a cancellation only once the client's reader and the event loop had handled it.

AttemptRequest.ClientWaits asks for the state of the stream and of the client's socket, also behind unread input; after a suspension once the client's input was read. The attempt then ends as not sent.

--- a/cmd/bankledge/suspension_test.go
+++ b/cmd/bankledge/suspension_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"regexp"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -108,12 +109,7 @@
 	for i := range uint32(n) {
 		c.send(frameStatement, i+1, statement("report", int(i), "d", "15000"))
 	}
-	connecting := regexp.MustCompile(fmt.Sprintf(` 0100007F:%04X 02 `, listener.Addr().(*net.TCPAddr).Port)) // state 02 is SYN_SENT: not established yet
-	require.Eventually(t, func() bool {                                                                      // until some requests wait for their connections
-		listed, err := os.ReadFile("/proc/net/tcp")
-		require.NoError(t, err)
-		return len(connecting.FindAll(listed, -1)) > 4
-	}, testTimeout, time.Millisecond)
+	awaitConnecting(t, listener)
 	r.suspend(t)
 	accept()
 	members := []string{fakes.Member("drains", listener.Addr().String(), "leaving"), member(healthy, "active")}
@@ -153,3 +149,79 @@
 	r.awaitExit(t)
 	assert.Zero(t, sent.Load(), "connections on which the draining engine received data")
 }
+
+// awaitConnecting waits until some requests wait for their connections to a listener with a full backlog.
+func awaitConnecting(t *testing.T, listener net.Listener) {
+	t.Helper()
+	connecting := regexp.MustCompile(fmt.Sprintf(` 0100007F:%04X 02 `, listener.Addr().(*net.TCPAddr).Port)) // state 02 is SYN_SENT: not established yet
+	require.Eventually(t, func() bool {
+		listed, err := os.ReadFile("/proc/net/tcp")
+		require.NoError(t, err)
+		return len(connecting.FindAll(listed, -1)) > 4
+	}, testTimeout, time.Millisecond)
+}
+
+// Guards against statements that are sent for clients that left during a suspension: connections to their engine were established meanwhile,
+// and attempts began before the router had read that the clients were gone.
+func TestClientsLeaveDuringASuspension(t *testing.T) {
+	for departure, leave := range map[string]func(*client){
+		"close":             func(c *client) { c.Close() },
+		"close with unread": func(c *client) { c.send(frameReadinessQuery, 0, "\x00"); c.Close() },
+		"cancel": func(c *client) {
+			for stream := range uint32(20) {
+				c.send(frameCancel, stream+1, "")
+			}
+		},
+	} {
+		t.Run(departure, func(t *testing.T) {
+			t.Parallel()
+			leaveDuringSuspension(t, leave)
+		})
+	}
+}
+
+func leaveDuringSuspension(t *testing.T, leave func(*client)) {
+	t.Helper()
+	listener, accept, err := fakes.ListenWithFullBacklog()
+	require.NoError(t, err)
+	defer listener.Close()
+	settings := strings.Replace(fakes.Settings, `"connectTimeout":250000`, `"connectTimeout":6000000`, 1) // some connections are established only at their third try
+	healthy := newEngine(t, "well", map[string][]step{"POST": {respondResult("fine\n")}})
+	f := newControl(t)
+	r := startRouter(t, smallConfig(f, settings, member(healthy, "active")))
+	f.Events <- watchEvent(2, member(healthy, "leaving"), fakes.Member("slow", listener.Addr().String(), "active"))
+	require.Eventually(t, func() bool { return r.log.hasEvent(logevent.EndpointListChanged) }, testTimeout, time.Millisecond)
+	c := dial(t, r)
+	for stream := range uint32(20) {
+		c.send(frameStatement, stream+1, statement("price-load", int(stream), "d", "15000"))
+	}
+	awaitConnecting(t, listener)
+	r.suspend(t)
+	leave(c)
+	accept()
+	var used, connections atomic.Int64
+	var readers sync.WaitGroup
+	readers.Go(func() {
+		for {
+			up, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			readers.Go(func() {
+				defer up.Close()
+				if n, _ := up.Read(make([]byte, 1)); n > 0 {
+					used.Add(1)
+				}
+			})
+		}
+	})
+	<-time.After(4 * time.Second) // longer than the kernel takes to try a connection again
+	r.resume(t)
+	r.stop(t)
+	r.awaitExit(t)
+	listener.Close()
+	readers.Wait()
+	assert.Positive(t, connections.Load())
+	assert.Zero(t, used.Load(), "connections on which something was sent for clients that had left")
+}
--- a/internal/downstream/cancel_detection.go
+++ b/internal/downstream/cancel_detection.go
@@ -14,6 +14,31 @@
 // peekBytes is the maximum number of unread bytes that are searched for cancel frames.
 const peekBytes = 64 << 10
 
+// Waits returns whether the client still waits for the answer of a stream. It does not if it has closed the connection, even if input
+// before the close is unread.
+func (c *Conn) Waits(stream uint32) bool {
+	if !c.isAwaited(stream) {
+		return false
+	}
+	var first [1]byte
+	unread, ended := c.peek(first[:])
+	if ended {
+		return false
+	}
+	return unread == 0 || !c.clientClosed()
+}
+
+// isAwaited returns whether a stream is open and was not cancelled.
+func (c *Conn) isAwaited(stream uint32) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state, open := c.openStreams[stream]
+	return open && state == streamAwaited
+}
+
+// HasUnreadInput returns whether the client has sent input that was not read yet.
+func (c *Conn) HasUnreadInput() bool { return c.unreadBytes() > 0 }
+
 // newPeekBuffer allocates a buffer for peekForCancelOrClose.
 func newPeekBuffer() any { return new([peekBytes]byte) }
 
--- a/internal/downstream/cancel_detection_test.go
+++ b/internal/downstream/cancel_detection_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -170,3 +171,47 @@
 		})
 	}
 }
+
+// Guards against statements that are sent to engines for clients that have left: a close behind unread input was noticed only when that
+// input had been read.
+func TestClientThatHasLeftDoesNotWait(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		leave func(*Conn, net.Conn)
+	}{
+		{"close", func(_ *Conn, client net.Conn) { client.Close() }},
+		{"half close", func(_ *Conn, client net.Conn) { closeWrite(client) }},
+		{"reset", func(_ *Conn, client net.Conn) { reset(client) }},
+		{"cancelled stream", func(conn *Conn, _ net.Conn) { conn.cancelStream(1) }},
+		{"answered stream", func(conn *Conn, _ net.Conn) { conn.CloseStream(1) }},
+		{"closed by the router", func(conn *Conn, _ net.Conn) { conn.closeBy(closeWriteFailed) }},
+	} {
+		for _, unread := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, unread input: %t", c.name, unread), func(t *testing.T) {
+				conn, client := connWithoutReader(t)
+				require.NoError(t, conn.openStream(1))
+				if unread {
+					write(t, client, statementFrame(2))
+					require.Eventually(t, conn.HasUnreadInput, eventTimeout, time.Millisecond)
+				}
+				assert.True(t, conn.Waits(1))
+				c.leave(conn, client)
+				require.Eventually(t, func() bool { return !conn.Waits(1) }, eventTimeout, time.Millisecond)
+			})
+		}
+	}
+}
+
+// connWithoutReader returns both ends of a connection from which the server does not read.
+func connWithoutReader(t *testing.T) (*Conn, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	client := dial(t, listener.Addr().String())
+	raw, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { raw.Close() })
+	server := newTestServer(newChanHandler(), 1<<20)
+	return newConn(server, raw, server.flow.OpenPeer("x"), time.Now()), client
+}
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -80,6 +80,8 @@
 		Workload:  req.workload,
 		Text:      req.text,
 		Deadline:  req.deadline,
+
+		ClientWaits: func() bool { return l.router.clientWaits(req) },
 	}
 	if start.Timeout > 0 {
 		timeout := l.router.clockOrigin.Add(now + start.Timeout)
--- a/internal/proxy/fixture_test.go
+++ b/internal/proxy/fixture_test.go
@@ -93,5 +93,7 @@
 }
 
 func (*fakeClient) CloseStream(uint32)   {}
+func (*fakeClient) Waits(uint32) bool    { return true }
+func (*fakeClient) HasUnreadInput() bool { return false }
 func (*fakeClient) ReserveText(int) bool { return true }
 func (*fakeClient) ReleaseText(int)      {}
--- a/internal/proxy/pause_detector.go
+++ b/internal/proxy/pause_detector.go
@@ -6,11 +6,11 @@
 )
 
 const (
-	pauseThreshold         = 250 * time.Millisecond // a longer time without a heartbeat is a pause
-	catchUpDivisor         = 4                      // after a pause, input counts as received during it for 1/4 of its length
-	maxCatchUp             = 250 * time.Millisecond // limits that time, since new input is also treated as old during it
-	maxDiscoveryWait       = 500 * time.Millisecond // for reading the control feed's events of a pause: a long list on a slow core
-	discoveryCheckInterval = time.Millisecond       // between two checks for unread events
+	pauseThreshold       = 250 * time.Millisecond // a longer time without a heartbeat is a pause
+	catchUpDivisor       = 4                      // after a pause, input counts as received during it for 1/4 of its length
+	maxCatchUp           = 250 * time.Millisecond // limits that time, since new input is also treated as old during it
+	maxCatchUpWait       = 500 * time.Millisecond // for reading the control feed's events of a pause: a long list on a slow core
+	catchUpCheckInterval = time.Millisecond       // between two checks for unread input
 )
 
 // pauseDetector detects that the router did not run for a while because it was suspended or had no CPU time. Input read soon after such
@@ -50,17 +50,28 @@
 	return now
 }
 
-// awaitDiscovery waits, after a pause, until the control feed's events of the pause have been received or maxDiscoveryWait is over, so
+// awaitDiscovery waits, after a pause, until the control feed's events of the pause have been received or maxCatchUpWait is over, so
 // that the router neither decides nor starts an attempt with an outdated endpoint list.
 func (r *Router) awaitDiscovery() {
+	r.awaitCatchUp(func() bool { return !r.discovery.HasUnreadEvents() })
+}
+
+// clientWaits reports whether the client of a request still waits for the answer. After a pause, it first waits until the client's input
+// of the pause, which may cancel the request, has been read or maxCatchUpWait is over.
+func (r *Router) clientWaits(req *request) bool {
+	r.awaitCatchUp(func() bool { return !req.client.HasUnreadInput() })
+	return req.client.Waits(req.stream)
+}
+
+// awaitCatchUp waits, after a pause, until caughtUp returns true or maxCatchUpWait is over.
+func (r *Router) awaitCatchUp(caughtUp func() bool) {
 	now := r.now()
 	if r.pauses.earliestArrival(now) == now {
 		return
 	}
-	deadline := time.Now().Add(maxDiscoveryWait)
-	caughtUp := false
-	for !caughtUp && time.Now().Before(deadline) {
-		caughtUp = !r.discovery.HasUnreadEvents()
-		time.Sleep(discoveryCheckInterval) // also after the last check: an event read just before it may not be posted yet
+	deadline := time.Now().Add(maxCatchUpWait)
+	for done := false; !done && time.Now().Before(deadline); {
+		done = caughtUp()
+		time.Sleep(catchUpCheckInterval) // also after the last check: input read just before it may not be handled yet
 	}
 }
--- a/internal/proxy/receive.go
+++ b/internal/proxy/receive.go
@@ -18,6 +18,10 @@
 	Answer(stream uint32, code downstream.Code, body []byte) (stalled bool)
 	// CloseStream closes a stream without an answer after its client has cancelled the request.
 	CloseStream(stream uint32)
+	// Waits reports whether the client still waits for the answer of a stream.
+	Waits(stream uint32) bool
+	// HasUnreadInput reports whether the client has sent input that was not read yet.
+	HasUnreadInput() bool
 	// ReserveText reserves memory for the text of a request. It reports whether enough was free.
 	ReserveText(n int) (reserved bool)
 	// ReleaseText releases reserved memory.
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -31,6 +31,9 @@
 	Text        []byte
 	Deadline    time.Time // when the attempt is cancelled
 	StartBefore time.Time // the latest time at which the attempt may start; zero: any time until Deadline
+	// ClientWaits reports whether the client still waits for the answer. It is called right before the first byte is sent, and may wait
+	// for input of the client. nil: the client always waits.
+	ClientWaits func() bool
 }
 
 // Attempt is one run of a statement at one engine. The client starts it once, polls it until it ends and then fetches
--- a/internal/upstream/attempt_start.go
+++ b/internal/upstream/attempt_start.go
@@ -84,13 +84,16 @@
 }
 
 // markStarted marks the attempt as started and reports whether the start may be sent. It may not if the attempt was
-// cancelled, its start deadline has passed, or its engine is draining, was removed or has another address now. After
+// cancelled, its client has left, its start deadline has passed, or its engine is draining, was removed or has another address now. After
 // markStarted the engine may run the attempt. The time of the last request is stored before the phase, since a concurrent
 // cancellation that finds the attempt started computes the end of the engine's retention from it.
 func (a *Attempt) markStarted() bool {
 	if a.client.AwaitDiscovery != nil {
 		a.client.AwaitDiscovery()
 	}
+	if a.ClientWaits != nil && !a.ClientWaits() {
+		return false
+	}
 	a.lastRequest.store(a.client.clockOrigin, time.Now())
 	if !a.client.pool.mayStartAttempt(a.Engine, a.address) || a.startDeadlinePassed() {
 		return false
