Endpoint list: a draining engine does not take over the address of a ready one

Found by reading, not in operation: a change of an old, draining engine that comes after a new engine was listed at its address displaced the new one. Nothing was started there, and its attempts in flight were given up.

Cause: updateEngine let each update displace the owner of its address.

A draining engine now counts as removed where a ready one has its address. TestDrainingEngineDoesNotTakeOverAnAddress failed before and passes now. TestEngineReplacedAtItsAddress plays a replacement as the protocol describes it; it held before too. internal/upstream passes with -race.

--- a/internal/upstream/engine_addresses.go
+++ b/internal/upstream/engine_addresses.go
@@ -8,8 +8,13 @@
 )
 
 // updateEngine sets an engine's address. Connections to its previous address are not reused, nor are those to another
-// engine that had the new address before; idle ones are closed at once.
+// engine that had the new address before; idle ones are closed at once. An engine that is draining does not take over the
+// address of one that is ready, since a late change of the old engine must not displace the new one: it counts as removed.
 func (p *connectionPool) updateEngine(engine decision.EngineID, address string, ready bool) {
+	if !ready && p.belongsToReadyEngine(address, engine) {
+		p.removeEngine(engine)
+		return
+	}
 	p.mu.Lock()
 	if ready {
 		delete(p.draining, engine)
@@ -96,6 +101,14 @@
 	return owner != "" && owner != engine
 }
 
+// belongsToReadyEngine reports whether an address belongs to an engine other than the given one that is not draining.
+func (p *connectionPool) belongsToReadyEngine(address string, engine decision.EngineID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	owner := p.engineByAddress[address]
+	return owner != "" && owner != engine && !p.draining[owner]
+}
+
 // engines returns the listed engines in ascending order.
 func (p *connectionPool) engines() []decision.EngineID {
 	p.mu.Lock()
