--- a/cmd/bankledge/replaced_engine_test.go
+++ b/cmd/bankledge/replaced_engine_test.go
@@ -14,7 +14,7 @@
 
 // Guards against a new engine that is taken for the one that had its address before: a statement that may have run on the old engine is not
 // started on the new one unless it may run twice, and nothing of the old engine's attempts is sent to the new one.
-func TestEngineReplacedAtItsAddress(t *testing.T) {
+func TestStatementsWhoseEngineIsReplaced(t *testing.T) {
 	for _, c := range []struct {
 		workload string
 		want     frame
