Frame memory: the sum of revoked frames is kept instead of counted for each request

Each request for frame memory while it is used up added up all frames under the lock of flow control: readers that wait ask again every 2 ms, so hundreds of them would have taken a good part of a core. The sum is kept, and compared with the frames after each of 50,000 random operations (TestTotalsEqualSums). internal/flowcontrol and internal/downstream pass; no figure was measured.

--- a/internal/flowcontrol/controller.go
+++ b/internal/flowcontrol/controller.go
@@ -8,13 +8,15 @@
 
 // Controller holds the limits and the totals of all peers.
 type Controller struct {
-	limits       Limits
-	answerBytes  int64
-	textBytes    int64
-	frameBytes   int64
-	framePeers   []*Peer // peers with memory for a frame, in the order in which the frames began
-	pendingHosts int     // hosts with pending answers
-	hosts        map[string]*host
+	limits      Limits
+	answerBytes int64
+	textBytes   int64
+	frameBytes  int64
+	// revokedFrameBytes is the part of frameBytes that is to be released.
+	revokedFrameBytes int64
+	framePeers        []*Peer // peers with memory for a frame, in the order in which the frames began
+	pendingHosts      int     // hosts with pending answers
+	hosts             map[string]*host
 }
 
 // host holds the totals of all connections from one address.
--- a/internal/flowcontrol/frame_memory.go
+++ b/internal/flowcontrol/frame_memory.go
@@ -48,18 +48,24 @@
 		p.addFrameBytes(additional)
 		return FrameGranted, nil
 	}
-	for c.unrevokedFrameBytes()+additional > c.limits.FrameBytes {
+	for c.frameBytes-c.revokedFrameBytes+additional > c.limits.FrameBytes {
 		victim := p.chooseFrameToRevoke(now, additional)
 		if victim == p {
 			return FrameRevoked, revoked
 		}
-		victim.frame.revoked = true
-		victim.host.frameBytes -= victim.frame.reservedBytes
+		victim.revokeFrame()
 		revoked = append(revoked, victim)
 	}
 	return FrameDelayed, revoked
 }
 
+// revokeFrame marks the memory of the peer's frame as to be released.
+func (p *Peer) revokeFrame() {
+	p.frame.revoked = true
+	p.host.frameBytes -= p.frame.reservedBytes
+	p.controller.revokedFrameBytes += p.frame.reservedBytes
+}
+
 // RecordFrameProgress records how far the peer's frame has been received. It returns whether the frame has been revoked.
 func (p *Peer) RecordFrameProgress(progress FrameProgress) (revoked bool) {
 	p.frame.progress = progress
@@ -85,7 +91,9 @@
 	}
 	p.frame.reservedBytes += bytes
 	c.frameBytes += bytes
-	if !p.frame.revoked {
+	if p.frame.revoked {
+		c.revokedFrameBytes += bytes
+	} else {
 		p.host.frameBytes += bytes
 	}
 	if p.frame.reservedBytes == 0 {
@@ -93,16 +101,6 @@
 	}
 }
 
-// unrevokedFrameBytes returns the bytes of all frames that have not been revoked.
-func (c *Controller) unrevokedFrameBytes() (bytes int64) {
-	for _, p := range c.framePeers {
-		if !p.frame.revoked {
-			bytes += p.frame.reservedBytes
-		}
-	}
-	return bytes
-}
-
 // chooseFrameToRevoke returns the peer whose frame is to be revoked so that p can have additional bytes. It may return p.
 func (p *Peer) chooseFrameToRevoke(now time.Duration, additional int64) *Peer {
 	victim := p
--- a/internal/flowcontrol/peer_test.go
+++ b/internal/flowcontrol/peer_test.go
@@ -237,10 +237,13 @@
 		}
 	}
 	frameBytes := int64(0)
+	revokedBytes := int64(0)
 	framesOfHosts := map[*host]int64{}
 	for _, p := range m.peers {
 		frameBytes += p.frame.reservedBytes
-		if !p.frame.revoked {
+		if p.frame.revoked {
+			revokedBytes += p.frame.reservedBytes
+		} else {
 			framesOfHosts[p.host] += p.frame.reservedBytes
 		}
 	}
@@ -248,6 +251,7 @@
 		require.Equal(t, bytes, host.frameBytes)
 	}
 	require.Equal(t, frameBytes, m.controller.frameBytes)
+	require.Equal(t, revokedBytes, m.controller.revokedFrameBytes)
 	require.LessOrEqual(t, frameBytes, m.controller.limits.FrameBytes)
 	textBytes := int64(0)
 	for _, texts := range m.texts {
